--- /dev/null
+++ b/include/mimosacroft/core/events.hpp
@@ -0,0 +1,82 @@
+// The numbered events of the log. docs/events.md is the catalogue; a test
+// compares the two. Numbers are never used again for another event.
+#ifndef MIMOSACROFT_CORE_EVENTS_HPP
+#define MIMOSACROFT_CORE_EVENTS_HPP
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace mimosacroft::core
+{
+
+enum class event_id
+{
+    // 100 to 199: the process.
+    started = 100,
+    stopping = 101,
+    stopped = 102,
+    setting_refused = 103,
+    // 200 to 299: queries at their root.
+    query_finished = 200,
+    answer_dropped = 201,
+    // 300 to 399: work on upstreams.
+    upstream_failed = 300,
+    upstream_answer_refused = 301,
+    // 400 to 499: members, views and links.
+    view_changed = 400,
+    peer_lost = 401,
+    link_refused = 402,
+    // 500 to 599: configuration and the platform.
+    config_applied = 500,
+    config_refused = 501,
+    platform_lost = 502,
+    platform_back = 503,
+    // 600 to 699: callers and operators.
+    caller_refused = 600
+};
+
+enum class severity
+{
+    info,
+    warning,
+    error
+};
+
+struct event_description
+{
+    event_id id;
+    severity level;
+    std::string_view name;
+};
+
+inline constexpr auto event_table = std::to_array<event_description>({
+    {event_id::started, severity::info, "started"},
+    {event_id::stopping, severity::info, "stopping"},
+    {event_id::stopped, severity::info, "stopped"},
+    {event_id::setting_refused, severity::error, "setting_refused"},
+    {event_id::query_finished, severity::info, "query_finished"},
+    {event_id::answer_dropped, severity::warning, "answer_dropped"},
+    {event_id::upstream_failed, severity::warning, "upstream_failed"},
+    {event_id::upstream_answer_refused, severity::warning,
+     "upstream_answer_refused"},
+    {event_id::view_changed, severity::info, "view_changed"},
+    {event_id::peer_lost, severity::warning, "peer_lost"},
+    {event_id::link_refused, severity::warning, "link_refused"},
+    {event_id::config_applied, severity::info, "config_applied"},
+    {event_id::config_refused, severity::error, "config_refused"},
+    {event_id::platform_lost, severity::warning, "platform_lost"},
+    {event_id::platform_back, severity::info, "platform_back"},
+    {event_id::caller_refused, severity::warning, "caller_refused"},
+});
+
+/// The description of an event; every event_id has one, which a test checks.
+constexpr const event_description& describe(event_id id)
+{
+    const auto it = std::ranges::find(event_table, id, &event_description::id);
+    return it == event_table.end() ? event_table.front() : *it;
+}
+
+} // namespace mimosacroft::core
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -0,0 +1,96 @@
+// Runs a node: carries out its effects with sockets and timers, and brings it
+// their results. All of it happens on the loop's thread; other threads come in
+// by call().
+#ifndef MIMOSACROFT_DAEMON_RUNTIME_HPP
+#define MIMOSACROFT_DAEMON_RUNTIME_HPP
+
+#include "mimosacroft/daemon/metrics.hpp"
+#include "mimosacroft/daemon/trace_store.hpp"
+#include "mimosacroft/net/http_client.hpp"
+#include "mimosacroft/net/loop.hpp"
+#include "mimosacroft/net/peer_transport.hpp"
+#include "mimosacroft/node/node.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace mimosacroft::daemon
+{
+
+class runtime
+{
+public:
+    runtime(fleet::agent_options fleet, net::peer_transport_options peers);
+
+    /// Runs until stop().
+    void run();
+    void stop();
+
+    /// Runs `fn` on the loop's thread and waits for its value. From any other
+    /// thread.
+    template <typename Fn>
+    auto call(Fn fn)
+    {
+        std::promise<decltype(fn())> done;
+        loop_.post([&] { done.set_value(fn()); });
+        return done.get_future().get();
+    }
+
+    /// Runs a search to its end. From any thread but the loop's.
+    query::search_answer search(query::search_request request);
+
+    /// An HTTP exchange by the loop's client. From any thread but the loop's.
+    base::result<wire::http_reply> exchange(const std::string& address,
+                                            wire::http_request request,
+                                            base::milliseconds timeout);
+
+    /// Stops taking work; `fn` runs on the loop once nothing is in flight.
+    void drain(std::function<void()> fn);
+
+    /// Only on the loop's thread.
+    const node::node& node() const { return node_; }
+    const net::peer_counters& peer_counters() const
+    {
+        return peers_.counters();
+    }
+    std::size_t connections(const std::string& address) const
+    {
+        return http_.connections(address);
+    }
+
+    daemon::metrics& metrics() { return metrics_; }
+    const daemon::trace_store& traces() const { return traces_; }
+
+private:
+    using call_key = std::pair<core::call_owner, std::uint64_t>;
+
+    void step(const std::function<void(base::instant, core::effects&)>& fn);
+    void carry_out(core::effect& it);
+    void carry_out(core::send_peer& it);
+    void carry_out(core::http_call& it);
+    void carry_out(const core::abandon_call& it);
+    void carry_out(const core::log_event& it);
+    void deliver_answers();
+    void arm_timer();
+    void check_drained();
+
+    net::loop loop_;
+    daemon::metrics metrics_;
+    daemon::trace_store traces_;
+    node::node node_;
+    net::http_client http_;
+    net::peer_transport peers_;
+    std::map<call_key, std::uint64_t> calls_; ///< the client's number of a call
+    std::map<std::uint64_t, std::promise<query::search_answer>> waiting_;
+    std::uint64_t last_ticket_ = 0;
+    base::instant armed_ = base::never; ///< when the next tick is due
+    std::function<void()> on_drained_;
+};
+
+} // namespace mimosacroft::daemon
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/fleet/platform_codec.hpp
@@ -0,0 +1,22 @@
+// Reads the JSON of the platform's object API.
+#ifndef MIMOSACROFT_FLEET_PLATFORM_CODEC_HPP
+#define MIMOSACROFT_FLEET_PLATFORM_CODEC_HPP
+
+#include "mimosacroft/base/error.hpp"
+#include "mimosacroft/wire/messages.hpp"
+
+#include <string>
+
+namespace mimosacroft::fleet
+{
+
+/// Reads the reply of a watch: the objects that changed and the version up to
+/// which the reply is complete.
+base::result<wire::config_push> parse_changes(const std::string& json);
+
+/// Reads the reply of the list of VMs.
+base::result<wire::view_push> parse_vms(const std::string& json);
+
+} // namespace mimosacroft::fleet
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/net/loop.hpp
@@ -0,0 +1,44 @@
+// The event loop of a process: one thread that waits for sockets and timers and
+// runs posted functions. All decisions of the core run on it.
+#ifndef MIMOSACROFT_NET_LOOP_HPP
+#define MIMOSACROFT_NET_LOOP_HPP
+
+#include "mimosacroft/base/time.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace mimosacroft::net
+{
+
+class loop
+{
+public:
+    loop();
+    ~loop();
+    loop(const loop&) = delete;
+    loop& operator=(const loop&) = delete;
+
+    /// Runs until stop(). Timers use the monotonic clock.
+    void run();
+
+    /// May be called from any thread.
+    void stop();
+
+    /// Runs `fn` on the loop's thread. May be called from any thread.
+    void post(std::function<void()> fn);
+
+    /// Runs `fn` once at `at`. Only from the loop's thread.
+    void at(base::instant at, std::function<void()> fn);
+
+    /// The library's selector, for the adapters in this folder.
+    void* selector();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mimosacroft::net
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/node/node.hpp
@@ -0,0 +1,82 @@
+// One entry VM without its sockets: takes every input with the time of its
+// arrival, lets the parts decide, and hands out effects and answers.
+#ifndef MIMOSACROFT_NODE_NODE_HPP
+#define MIMOSACROFT_NODE_NODE_HPP
+
+#include "mimosacroft/fleet/agent.hpp"
+#include "mimosacroft/query/leaf.hpp"
+#include "mimosacroft/query/root.hpp"
+#include "mimosacroft/query/scatter.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosacroft::node
+{
+
+class node
+{
+public:
+    node(fleet::agent_options options, std::uint64_t seed);
+
+    void on_search(query::search_request request, base::instant now,
+                   core::effects& out);
+    void on_message(const std::string& from, std::uint64_t incarnation,
+                    wire::message msg, base::instant now, core::effects& out);
+    void on_link_down(const std::string& vm, bool was_up, base::instant now,
+                      core::effects& out);
+    void on_http_reply(core::call_owner owner, std::uint64_t id,
+                       const base::result<wire::http_reply>& reply,
+                       base::instant now, core::effects& out);
+    void on_tick(base::instant now, core::effects& out);
+    base::instant next_wakeup() const;
+
+    /// Refuses new requests and forwards from now on.
+    void begin_drain(base::instant now, core::effects& out);
+    bool draining() const { return draining_; }
+    /// Nothing is in flight.
+    bool idle() const;
+
+    /// The answers of requests that ended.
+    std::vector<query::search_answer> take_answers();
+
+    const fleet::agent& fleet() const { return fleet_; }
+    const query::root& root() const { return root_; }
+    const query::leaf& leaf() const { return leaf_; }
+
+private:
+    /// A forward of another VM that this one passes on and merges.
+    struct relayed
+    {
+        std::string from;
+        wire::query_ref query;
+        std::uint32_t attempt = 0;
+        std::uint64_t epoch = 0;
+    };
+
+    void on_forward(const std::string& from, const wire::forward& msg,
+                    base::instant now, core::effects& out);
+    void on_cancel(const std::string& from, const wire::cancel& msg,
+                   base::instant now, core::effects& out);
+    void relay(const std::string& from, const wire::forward& msg,
+               std::vector<wire::shard_task> tasks, base::instant now,
+               core::effects& out);
+    void settle(base::instant now, core::effects& out);
+    bool settle_once(base::instant now, core::effects& out);
+    bool loop_back(base::instant now, core::effects& out);
+    void send(const std::string& vm, wire::message msg, core::effects& out);
+
+    fleet::agent fleet_;
+    query::scatter scatter_;
+    query::root root_;
+    query::leaf leaf_;
+    std::map<std::uint64_t, relayed> relayed_; ///< by scatter job
+    std::vector<query::search_answer> answers_;
+    bool draining_ = false;
+};
+
+} // namespace mimosacroft::node
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/query/scatter.hpp
@@ -0,0 +1,114 @@
+// Sends the shards of a query to the VMs that can ask for them, and collects
+// one report for each shard. Used by the root of a query, and by a relay for
+// the part of a query that another data centre asked of it.
+#ifndef MIMOSACROFT_QUERY_SCATTER_HPP
+#define MIMOSACROFT_QUERY_SCATTER_HPP
+
+#include "mimosacroft/core/effects.hpp"
+#include "mimosacroft/fleet/agent.hpp"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosacroft::query
+{
+
+struct scatter_job
+{
+    wire::forward request; ///< all fields but attempt, budget_ms and shards
+    std::vector<wire::shard_task> tasks; ///< no shard twice
+    base::instant deadline;              ///< when the reports are due
+};
+
+/// One report for each task of the job, in the order of the tasks.
+struct scatter_result
+{
+    std::uint64_t job = 0;
+    std::vector<wire::shard_report> reports;
+    std::vector<wire::span> spans;
+};
+
+class scatter
+{
+public:
+    scatter(const fleet::agent& fleet, std::uint64_t seed);
+
+    /// Starts a job and returns its number.
+    std::uint64_t start(scatter_job job, base::instant now, core::effects& out);
+
+    /// Takes the answer of `from`. One that matches no open forward is dropped
+    /// and logged.
+    void on_answer(const std::string& from, const wire::forward_answer& msg,
+                   base::instant now, core::effects& out);
+
+    /// A link broke. With `was_up` unset nothing was written on it.
+    void on_peer_lost(const std::string& vm, bool was_up, base::instant now,
+                      core::effects& out);
+
+    /// Gives a job up; there will be no result.
+    void abandon(std::uint64_t job, core::effects& out);
+
+    void on_tick(base::instant now, core::effects& out);
+    base::instant next_wakeup() const;
+
+    std::vector<scatter_result> take_finished();
+
+private:
+    struct open_task
+    {
+        wire::shard_task task;
+        wire::shard_report report;
+        bool reported = false;
+        bool maybe_run = false;      ///< some forward of it was written
+        std::set<std::string> tried; ///< VMs that were lost with it
+    };
+
+    struct open_job
+    {
+        scatter_job job;
+        base::instant started;
+        std::vector<open_task> tasks;
+        std::size_t missing = 0; ///< tasks without a report
+        std::vector<wire::span> spans;
+    };
+
+    /// A forward that has been sent and is not closed.
+    struct open_forward
+    {
+        std::uint64_t job = 0;
+        std::string vm;
+        base::instant sent;
+        std::vector<std::size_t> tasks; ///< positions in the job's tasks
+    };
+
+    std::string route(const open_task& it);
+    void dispatch(std::uint64_t id, const std::vector<std::size_t>& positions,
+                  base::instant now, core::effects& out);
+    void send(std::uint64_t id, const std::string& vm,
+              std::vector<std::size_t> positions, base::instant now,
+              core::effects& out);
+    void report(open_job& job, std::size_t position,
+                const wire::shard_report& it);
+    void lose_forward(const open_forward& gone, bool was_up, base::instant now,
+                      core::effects& out);
+    void finish_if_complete(std::uint64_t id);
+    void expire(std::uint64_t id, core::effects& out);
+    void close_forwards(std::uint64_t id, core::effects& out);
+
+    const fleet::agent& fleet_;
+    std::mt19937_64 random_;
+    std::uint64_t last_job_ = 0;
+    std::uint32_t last_attempt_ = 0;
+    std::map<std::uint64_t, open_job> jobs_;
+    std::map<std::uint32_t, open_forward> forwards_; ///< by attempt
+    std::set<std::pair<base::instant, std::uint64_t>> deadlines_; ///< with job
+    std::vector<scatter_result> finished_;
+};
+
+} // namespace mimosacroft::query
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/wire/http.hpp
@@ -0,0 +1,40 @@
+// HTTP messages as plain values, without any header of the HTTP library.
+#ifndef MIMOSACROFT_WIRE_HTTP_HPP
+#define MIMOSACROFT_WIRE_HTTP_HPP
+
+#include <map>
+#include <string>
+
+namespace mimosacroft::wire
+{
+
+/// Header names are kept in lower case.
+using http_headers = std::map<std::string, std::string>;
+
+struct http_request
+{
+    std::string method = "GET";
+    std::string path;  ///< without the query string
+    std::string query; ///< text after '?', not decoded
+    http_headers headers;
+    std::string body;
+};
+
+struct http_reply
+{
+    unsigned status = 200;
+    http_headers headers;
+    std::string body;
+};
+
+/// The value of a header, empty if absent. `name` in lower case.
+inline std::string header_of(const http_headers& headers,
+                             const std::string& name)
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? std::string() : it->second;
+}
+
+} // namespace mimosacroft::wire
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/wire/messages.hpp
@@ -0,0 +1,222 @@
+// The messages between the processes of the system, packed with msgpack as
+// arrays. A frame on the wire holds one message: [type, fields...].
+#ifndef MIMOSACROFT_WIRE_MESSAGES_HPP
+#define MIMOSACROFT_WIRE_MESSAGES_HPP
+
+#include "mimosacroft/base/error.hpp"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace mimosacroft::wire
+{
+
+/// Peers with another version refuse each other at the handshake.
+inline constexpr std::uint32_t protocol_version = 1;
+
+/// First message on a link, both ways.
+struct hello
+{
+    std::uint32_t version = protocol_version;
+    std::string vm;                ///< id of the sender
+    std::uint64_t incarnation = 0; ///< of the sender's process
+    std::string nonce;             ///< challenge for the other side
+    MSGPACK_DEFINE_ARRAY(version, vm, incarnation, nonce)
+};
+
+/// Second message on a link, both ways: the HMAC over the challenge.
+struct proof
+{
+    std::string mac;
+    MSGPACK_DEFINE_ARRAY(mac)
+};
+
+/// One hop of a query, for its trace. Times in microseconds; `start_us` counts
+/// from the moment the reporting VM took the work.
+struct span
+{
+    std::uint64_t id = 0;
+    std::uint64_t parent = 0;
+    std::string name;
+    std::string vm;
+    std::string peer;
+    std::int64_t start_us = 0;
+    std::int64_t length_us = 0;
+    std::string note;
+    MSGPACK_DEFINE_ARRAY(id, parent, name, vm, peer, start_us, length_us, note)
+};
+
+/// Identifies a query in the fleet: the root's process and its own counter.
+struct query_ref
+{
+    std::uint64_t root_incarnation = 0;
+    std::uint64_t query = 0;
+    MSGPACK_DEFINE_ARRAY(root_incarnation, query)
+    friend bool operator==(const query_ref& a, const query_ref& b)
+    {
+        return a.root_incarnation == b.root_incarnation && a.query == b.query;
+    }
+    friend bool operator<(const query_ref& a, const query_ref& b)
+    {
+        return std::tie(a.root_incarnation, a.query) <
+               std::tie(b.root_incarnation, b.query);
+    }
+};
+
+/// One shard of a query: its position in the epoch's list, its name, and the
+/// upstream that shall answer for it.
+struct shard_task
+{
+    std::uint32_t shard = 0;
+    std::string name;
+    std::string upstream;
+    MSGPACK_DEFINE_ARRAY(shard, name, upstream)
+};
+
+/// Work for one VM: the shards of a query that it shall ask for. A VM that owns
+/// an upstream asks its servers; otherwise it forwards once more to an owner in
+/// its data centre and merges the answers.
+struct forward
+{
+    query_ref query;
+    std::uint32_t attempt = 0; ///< unique for its sender's process
+    std::string search;
+    std::uint64_t epoch = 0;     ///< pinned at admission
+    std::uint32_t budget_ms = 0; ///< time left for the receiver to answer
+    std::uint8_t priority = 0;   ///< model::priority
+    bool repeatable = true;
+    std::uint8_t hops_left = 0;
+    std::string trace; ///< W3C trace id, 32 hexadecimal digits
+    std::uint64_t parent_span = 0;
+    std::string body; ///< the caller's request, opaque
+    std::vector<shard_task> shards;
+    MSGPACK_DEFINE_ARRAY(query, attempt, search, epoch, budget_ms, priority,
+                         repeatable, hops_left, trace, parent_span, body,
+                         shards)
+};
+
+/// The answer for one shard. `lack` is model::lack_reason when not included.
+struct shard_report
+{
+    std::uint32_t shard = 0;
+    bool included = false;
+    std::uint8_t lack = 0;
+    bool maybe_run = false; ///< false only if the shard provably did not run
+    std::uint32_t extra_attempts = 0; ///< hedges and retries spent on it
+    std::string payload;
+    MSGPACK_DEFINE_ARRAY(shard, included, lack, maybe_run, extra_attempts,
+                         payload)
+};
+
+/// Answers a forward for some of its shards. A forward is closed once each of
+/// its shards has been reported, in one message or in several.
+struct forward_answer
+{
+    query_ref query;
+    std::uint32_t attempt = 0;
+    std::uint64_t epoch = 0;
+    std::vector<shard_report> shards;
+    std::vector<span> spans;
+    MSGPACK_DEFINE_ARRAY(query, attempt, epoch, shards, spans)
+};
+
+/// The root no longer needs the answer to a forward.
+struct cancel
+{
+    query_ref query;
+    std::uint32_t attempt = 0;
+    MSGPACK_DEFINE_ARRAY(query, attempt)
+};
+
+/// One object of the configuration with the platform's version. A deleted
+/// object stays as a tombstone: no body, `deleted` set.
+struct config_entry
+{
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+    bool deleted = false;
+    std::string body; ///< JSON
+    MSGPACK_DEFINE_ARRAY(kind, name, version, deleted, body)
+};
+
+/// Objects that the receiver may lack.
+struct config_push
+{
+    std::uint64_t through = 0; ///< the sender holds everything up to here
+    std::vector<config_entry> entries;
+    MSGPACK_DEFINE_ARRAY(through, entries)
+};
+
+/// A server that takes no new work. Bars only this incarnation of it.
+struct leaving_mark
+{
+    std::string server;
+    std::string incarnation;
+    MSGPACK_DEFINE_ARRAY(server, incarnation)
+};
+
+/// What a VM knows about one member, for gossip.
+struct member_row
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t heartbeat = 0;      ///< grows while the process lives
+    std::uint64_t config_version = 0; ///< in force at this VM
+    std::uint8_t state = 0;           ///< fleet::member_state
+    MSGPACK_DEFINE_ARRAY(vm, incarnation, heartbeat, config_version, state)
+};
+
+/// Periodic exchange between random peers.
+struct digest
+{
+    std::uint64_t sequence = 0; ///< answered by an ack with the same number
+    bool ack = false;
+    std::uint64_t config_version = 0;
+    std::uint64_t view_version = 0;
+    std::vector<member_row> members;
+    std::vector<leaving_mark> leaving;
+    MSGPACK_DEFINE_ARRAY(sequence, ack, config_version, view_version, members,
+                         leaving)
+};
+
+/// One VM of the platform's list.
+struct view_entry
+{
+    std::string vm;
+    std::string data_centre;
+    std::string peer_address; ///< ip:port
+    bool leaving = false;
+    MSGPACK_DEFINE_ARRAY(vm, data_centre, peer_address, leaving)
+    friend bool operator==(const view_entry& a, const view_entry& b)
+    {
+        return std::tie(a.vm, a.data_centre, a.peer_address, a.leaving) ==
+               std::tie(b.vm, b.data_centre, b.peer_address, b.leaving);
+    }
+};
+
+/// The platform's list of entry VMs at a version, passed on between peers.
+struct view_push
+{
+    std::uint64_t version = 0;
+    std::vector<view_entry> entries;
+    MSGPACK_DEFINE_ARRAY(version, entries)
+};
+
+using message = std::variant<hello, proof, forward, forward_answer, cancel,
+                             config_push, digest, view_push>;
+
+/// Packs a message without its frame header.
+std::string pack(const message& msg);
+
+/// Unpacks what pack() made. Anything else gives an error, never an exception.
+base::result<message> unpack(std::string_view bytes);
+
+} // namespace mimosacroft::wire
+
+#endif
--- /dev/null
+++ b/lib/daemon/runtime.cpp
@@ -0,0 +1,203 @@
+// Runs a node with sockets and timers.
+#include "mimosacroft/daemon/runtime.hpp"
+
+#include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/daemon/event_log.hpp"
+
+namespace mimosacroft::daemon
+{
+
+namespace
+{
+
+base::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// How often a draining VM looks whether it is idle.
+constexpr base::milliseconds drain_check{10};
+
+} // namespace
+
+runtime::runtime(fleet::agent_options fleet, net::peer_transport_options peers)
+    : node_(std::move(fleet), base::random_u64()), http_(loop_),
+      peers_(loop_, std::move(peers),
+             {[this](const std::string& vm, std::uint64_t incarnation,
+                     wire::message msg)
+              {
+                  step(
+                      [&](base::instant t, core::effects& out)
+                      {
+                          node_.on_message(vm, incarnation, std::move(msg), t,
+                                           out);
+                      });
+              },
+              [this](const std::string& vm, bool was_up)
+              {
+                  step([&](base::instant t, core::effects& out)
+                       { node_.on_link_down(vm, was_up, t, out); });
+              },
+              [this](const base::error& reason)
+              {
+                  metrics_.add("mimosa_peer_links_refused_total");
+                  write({core::event_id::link_refused,
+                         {{"peer", reason.peer},
+                          {"step", std::string(base::name_of(reason.at))},
+                          {"reason", reason.text}}});
+              }})
+{
+}
+
+void runtime::run()
+{
+    loop_.post(
+        [this]
+        {
+            step([this](base::instant t, core::effects& out)
+                 { node_.on_tick(t, out); });
+        });
+    loop_.run();
+}
+
+void runtime::stop()
+{
+    loop_.stop();
+}
+
+void runtime::step(const std::function<void(base::instant, core::effects&)>& fn)
+{
+    core::effects out;
+    fn(now(), out);
+    for (auto& it : out)
+        carry_out(it);
+    deliver_answers();
+    arm_timer();
+}
+
+void runtime::carry_out(core::effect& it)
+{
+    std::visit([this](auto& e) { carry_out(e); }, it);
+}
+
+void runtime::carry_out(core::send_peer& it)
+{
+    peers_.send(it.vm, it.address, it.msg);
+}
+
+void runtime::carry_out(core::http_call& it)
+{
+    const call_key key(it.owner, it.id);
+    const auto on_reply = [this, key](base::result<wire::http_reply> reply)
+    {
+        calls_.erase(key);
+        step([&](base::instant t, core::effects& out)
+             { node_.on_http_reply(key.first, key.second, reply, t, out); });
+    };
+    metrics_.add(it.owner == core::call_owner::leaf
+                     ? "mimosa_upstream_calls_total"
+                     : "mimosa_platform_calls_total");
+    calls_[key] = http_.call(it.address, std::move(it.request),
+                             {it.deadline, it.fresh_connection}, on_reply);
+}
+
+void runtime::carry_out(const core::abandon_call& it)
+{
+    const auto found = calls_.find({it.owner, it.id});
+    if (found == calls_.end())
+        return;
+    http_.abandon(found->second);
+    calls_.erase(found);
+}
+
+void runtime::carry_out(const core::log_event& it)
+{
+    metrics_.add("mimosa_events_total{event=\"" +
+                 std::string(core::describe(it.id).name) + "\"}");
+    write(it);
+}
+
+void runtime::deliver_answers()
+{
+    for (auto& answer : node_.take_answers())
+    {
+        metrics_.add("mimosa_queries_total{outcome=\"" +
+                     std::string(base::name_of(answer.outcome)) + "\"}");
+        metrics_.observe("mimosa_query_seconds", base::to_seconds(answer.took));
+        metrics_.observe("mimosa_query_coverage", query::coverage_of(answer));
+        traces_.put(answer);
+        const auto it = waiting_.find(answer.ticket);
+        if (it == waiting_.end())
+            continue;
+        it->second.set_value(std::move(answer));
+        waiting_.erase(it);
+    }
+}
+
+void runtime::arm_timer()
+{
+    const auto due = node_.next_wakeup();
+    if (due >= armed_)
+        return;
+    armed_ = due;
+    loop_.at(due,
+             [this, due]
+             {
+                 if (armed_ != due)
+                     return;
+                 armed_ = base::never;
+                 step([this](base::instant t, core::effects& out)
+                      { node_.on_tick(t, out); });
+             });
+}
+
+query::search_answer runtime::search(query::search_request request)
+{
+    std::promise<query::search_answer> done;
+    auto answer = done.get_future();
+    loop_.post(
+        [this, &request, &done]
+        {
+            request.ticket = ++last_ticket_;
+            waiting_.emplace(request.ticket, std::move(done));
+            step([&](base::instant t, core::effects& out)
+                 { node_.on_search(std::move(request), t, out); });
+        });
+    return answer.get();
+}
+
+base::result<wire::http_reply> runtime::exchange(const std::string& address,
+                                                 wire::http_request request,
+                                                 base::milliseconds timeout)
+{
+    std::promise<base::result<wire::http_reply>> done;
+    loop_.post(
+        [&]
+        {
+            http_.call(address, std::move(request), {now() + timeout, true},
+                       [&done](auto reply)
+                       { done.set_value(std::move(reply)); });
+        });
+    return done.get_future().get();
+}
+
+void runtime::drain(std::function<void()> fn)
+{
+    loop_.post(
+        [this, fn = std::move(fn)]
+        {
+            on_drained_ = fn;
+            step([this](base::instant t, core::effects& out)
+                 { node_.begin_drain(t, out); });
+            check_drained();
+        });
+}
+
+void runtime::check_drained()
+{
+    if (node_.idle() && waiting_.empty())
+        return on_drained_();
+    loop_.at(now() + drain_check, [this] { check_drained(); });
+}
+
+} // namespace mimosacroft::daemon
--- /dev/null
+++ b/lib/net/loop.cpp
@@ -0,0 +1,101 @@
+// The event loop, on the selector of cxxtools. The library's own timers follow
+// the wall clock, which may jump, so timers are kept here on the monotonic one.
+#include "mimosacroft/net/loop.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <cxxtools/selector.h>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace mimosacroft::net
+{
+
+namespace
+{
+
+// A jump of the wall clock disturbs the selector's wait for at most this long.
+constexpr int max_wait_ms = 50;
+
+} // namespace
+
+struct loop::impl
+{
+    cxxtools::Selector selector;
+    std::mutex mutex;
+    std::vector<std::function<void()>> posted; // guarded by mutex
+    std::multimap<base::instant, std::function<void()>> timers;
+    std::atomic<bool> stopped{false};
+
+    std::vector<std::function<void()>> take_posted()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return std::exchange(posted, {});
+    }
+
+    void run_due_timers()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        while (!timers.empty() && timers.begin()->first <= now)
+        {
+            auto node = timers.extract(timers.begin());
+            node.mapped()();
+        }
+    }
+
+    int wait_ms()
+    {
+        if (timers.empty())
+            return max_wait_ms;
+        const auto left =
+            timers.begin()->first - std::chrono::steady_clock::now();
+        // Rounded up, so that a timer is due when the wait ends.
+        const auto ms = base::to_ms(left + base::microseconds(999));
+        return static_cast<int>(std::clamp<long long>(ms, 0, max_wait_ms));
+    }
+};
+
+loop::loop() : impl_(std::make_unique<impl>()) {}
+loop::~loop() = default;
+
+void loop::run()
+{
+    while (!impl_->stopped)
+    {
+        for (auto& fn : impl_->take_posted())
+            fn();
+        impl_->run_due_timers();
+        if (impl_->stopped)
+            break;
+        impl_->selector.wait(impl_->wait_ms());
+    }
+}
+
+void loop::stop()
+{
+    impl_->stopped = true;
+    impl_->selector.wake();
+}
+
+void loop::post(std::function<void()> fn)
+{
+    {
+        const std::lock_guard<std::mutex> lock(impl_->mutex);
+        impl_->posted.push_back(std::move(fn));
+    }
+    impl_->selector.wake();
+}
+
+void loop::at(base::instant at, std::function<void()> fn)
+{
+    impl_->timers.emplace(at, std::move(fn));
+}
+
+void* loop::selector()
+{
+    return &impl_->selector;
+}
+
+} // namespace mimosacroft::net
--- /dev/null
+++ b/lib/net/peer_transport.cpp
@@ -0,0 +1,393 @@
+// Links between the VMs, on the sockets of cxxtools.
+#include "mimosacroft/net/peer_transport.hpp"
+
+#include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/wire/frame.hpp"
+#include "mimosacroft/wire/handshake.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cxxtools/connectable.h>
+#include <cxxtools/net/addrinfo.h>
+#include <cxxtools/net/tcpserver.h>
+#include <cxxtools/net/tcpsocket.h>
+#include <cxxtools/selector.h>
+#include <cxxtools/signal.h>
+#include <cxxtools/slot.h>
+#include <map>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace mimosacroft::net
+{
+
+namespace
+{
+
+constexpr std::size_t nonce_bytes = 16;
+constexpr std::size_t read_bytes = 64 << 10;
+constexpr int listen_backlog = 256;
+
+// Shared by all links of a transport.
+struct link_context
+{
+    const peer_transport_options& options;
+    const peer_handlers& handlers;
+    peer_counters& counters;
+};
+
+} // namespace
+
+// One TCP connection, in either direction.
+class peer_link : public cxxtools::Connectable
+{
+public:
+    using closed = std::function<void(peer_link&)>;
+
+    peer_link(link_context context, wire::link_side side, closed on_closed)
+        : context_(context), on_closed_(std::move(on_closed)),
+          handshake_(side,
+                     {wire::protocol_version, context.options.vm,
+                      context.options.incarnation,
+                      base::random_bytes(nonce_bytes)},
+                     context.options.secret),
+          decoder_(context.options.max_frame_bytes)
+    {
+        cxxtools::connect(socket_.connected, *this, &peer_link::on_connected);
+        cxxtools::connect(socket_.inputReady, *this, &peer_link::on_input);
+        cxxtools::connect(socket_.outputReady, *this, &peer_link::on_output);
+    }
+
+    void open(cxxtools::SelectorBase& selector, const std::string& address)
+    {
+        const auto colon = address.rfind(':');
+        if (colon == std::string::npos)
+            return close();
+        try
+        {
+            socket_.setSelector(&selector);
+            const int port = std::atoi(address.c_str() + colon + 1);
+            // A connect that succeeds at once is signalled by its caller.
+            if (socket_.beginConnect(address.substr(0, colon),
+                                     static_cast<unsigned short>(port)))
+                on_connected(socket_);
+        }
+        catch (const std::exception&)
+        {
+            close();
+        }
+    }
+
+    void accept(cxxtools::SelectorBase& selector,
+                const cxxtools::net::TcpServer& server)
+    {
+        socket_.accept(server);
+        socket_.setSelector(&selector);
+        start();
+    }
+
+    void send(const wire::message& msg)
+    {
+        const std::string frame = wire::make_frame(wire::pack(msg));
+        if (!ready())
+        {
+            before_ready_ += frame;
+            return limit(before_ready_);
+        }
+        write(frame);
+    }
+
+    bool ready() const { return handshake_.done(); }
+    bool open_failed() const { return closing_ && !ready(); }
+    bool closing() const { return closing_; }
+    const wire::hello& peer() const { return handshake_.peer(); }
+    std::string expected_vm; ///< whom an outgoing link shall reach
+
+    void close()
+    {
+        if (std::exchange(closing_, true))
+            return;
+        socket_.close();
+        on_closed_(*this);
+    }
+
+private:
+    void on_connected(cxxtools::net::TcpSocket&)
+    {
+        try
+        {
+            socket_.endConnect();
+            start();
+        }
+        catch (const std::exception&)
+        {
+            close();
+        }
+    }
+
+    void start()
+    {
+        write(wire::make_frame(wire::pack(handshake_.own())));
+        if (!closing_)
+            socket_.beginRead(in_.data(), in_.size());
+    }
+
+    void on_input(cxxtools::IODevice&)
+    {
+        try
+        {
+            const std::size_t n = socket_.endRead();
+            if (n == 0)
+                return close();
+            context_.counters.bytes_received += n;
+            decoder_.append({in_.data(), n});
+            drain_frames();
+            if (!closing_)
+                socket_.beginRead(in_.data(), in_.size());
+        }
+        catch (const std::exception&)
+        {
+            close();
+        }
+    }
+
+    void drain_frames()
+    {
+        while (!closing_)
+        {
+            const auto frame = decoder_.next();
+            if (!frame)
+                return refuse(frame.error());
+            if (!*frame)
+                return;
+            auto msg = wire::unpack(**frame);
+            if (!msg)
+                return refuse(msg.error());
+            ++context_.counters.frames_received;
+            take(std::move(*msg));
+        }
+    }
+
+    void take(wire::message msg)
+    {
+        if (ready())
+            return context_.handlers.on_message(peer().vm, peer().incarnation,
+                                                std::move(msg));
+        const auto reply = handshake_.receive(msg);
+        if (!reply)
+            return refuse(reply.error());
+        if (*reply)
+            write(wire::make_frame(wire::pack(**reply)));
+        if (!ready())
+            return;
+        if (!expected_vm.empty() && expected_vm != peer().vm)
+            return refuse({base::error_code::unauthorized, base::step::connect,
+                           peer().vm, "another VM answers at this address"});
+        write(std::exchange(before_ready_, {}));
+    }
+
+    void refuse(base::error reason)
+    {
+        if (reason.peer.empty())
+            reason.peer = peer().vm;
+        ++context_.counters.links_refused;
+        context_.handlers.on_refused(reason);
+        close();
+    }
+
+    void write(const std::string& bytes)
+    {
+        if (closing_ || bytes.empty())
+            return;
+        ++context_.counters.frames_sent;
+        context_.counters.bytes_sent += bytes.size();
+        waiting_ += bytes;
+        if (sending_.empty())
+            begin_write();
+        else
+            limit(waiting_);
+    }
+
+    void limit(const std::string& queue)
+    {
+        if (queue.size() > context_.options.max_queue_bytes)
+            close();
+    }
+
+    void begin_write()
+    {
+        sending_ = std::exchange(waiting_, {});
+        sent_ = 0;
+        continue_write();
+    }
+
+    void continue_write()
+    {
+        try
+        {
+            socket_.beginWrite(sending_.data() + sent_,
+                               sending_.size() - sent_);
+        }
+        catch (const std::exception&)
+        {
+            close();
+        }
+    }
+
+    void on_output(cxxtools::IODevice&)
+    {
+        try
+        {
+            sent_ += socket_.endWrite();
+        }
+        catch (const std::exception&)
+        {
+            return close();
+        }
+        if (sent_ < sending_.size())
+            return continue_write();
+        sending_.clear();
+        if (!waiting_.empty())
+            begin_write();
+    }
+
+    link_context context_;
+    closed on_closed_;
+    wire::handshake handshake_;
+    wire::frame_decoder decoder_;
+    cxxtools::net::TcpSocket socket_;
+    std::array<char, read_bytes> in_{};
+    std::string before_ready_; ///< frames that wait for the handshake
+    std::string waiting_;      ///< frames that wait for sending_ to be written
+    std::string sending_;      ///< the write that is under way
+    std::size_t sent_ = 0;     ///< bytes of sending_ that are written
+    bool closing_ = false;
+};
+
+struct peer_transport::impl : public cxxtools::Connectable
+{
+    loop& owner;
+    peer_transport_options options;
+    peer_handlers handlers;
+    peer_counters counters;
+    cxxtools::net::TcpServer server;
+    std::map<std::string, std::shared_ptr<peer_link>> outgoing; // by VM
+    std::vector<std::shared_ptr<peer_link>> incoming;
+
+    impl(loop& l, peer_transport_options o, peer_handlers h)
+        : owner(l), options(std::move(o)), handlers(std::move(h)),
+          server(options.listen_address, options.listen_port, listen_backlog)
+    {
+        server.setSelector(&selector());
+        cxxtools::connect(server.connectionPending, *this, &impl::on_pending);
+    }
+
+    cxxtools::SelectorBase& selector()
+    {
+        return *static_cast<cxxtools::SelectorBase*>(owner.selector());
+    }
+
+    link_context context() { return {options, handlers, counters}; }
+
+    void on_pending(cxxtools::net::TcpServer& from)
+    {
+        auto link = std::make_shared<peer_link>(
+            context(), wire::link_side::accepting,
+            [this](peer_link& gone) { drop_incoming(gone); });
+        incoming.push_back(link);
+        try
+        {
+            link->accept(selector(), from);
+        }
+        catch (const std::exception&)
+        {
+            link->close();
+        }
+        watch_handshake(link);
+    }
+
+    void drop_incoming(const peer_link& gone)
+    {
+        const auto it =
+            std::find_if(incoming.begin(), incoming.end(),
+                         [&gone](auto& link) { return link.get() == &gone; });
+        if (it == incoming.end())
+            return;
+        // The link may be on the call stack: it is destroyed by the loop.
+        owner.post([keep = *it] {});
+        incoming.erase(it);
+    }
+
+    std::shared_ptr<peer_link> open(const std::string& vm,
+                                    const std::string& address)
+    {
+        auto link = std::make_shared<peer_link>(
+            context(), wire::link_side::connecting,
+            [this, vm](peer_link& gone) { drop_outgoing(vm, gone); });
+        link->expected_vm = vm;
+        outgoing[vm] = link;
+        link->open(selector(), address);
+        watch_handshake(link);
+        return link;
+    }
+
+    void drop_outgoing(const std::string& vm, const peer_link& gone)
+    {
+        const auto it = outgoing.find(vm);
+        if (it == outgoing.end() || it->second.get() != &gone)
+            return;
+        const bool was_up = gone.ready();
+        owner.post([this, vm, was_up, keep = it->second]
+                   { handlers.on_link_down(vm, was_up); });
+        outgoing.erase(it);
+    }
+
+    void watch_handshake(const std::shared_ptr<peer_link>& link)
+    {
+        const auto due =
+            std::chrono::steady_clock::now() + options.connect_timeout;
+        owner.at(due,
+                 [it = std::weak_ptr<peer_link>(link)]
+                 {
+                     const auto open = it.lock();
+                     if (open && !open->ready())
+                         open->close();
+                 });
+    }
+};
+
+peer_transport::peer_transport(loop& owner, peer_transport_options options,
+                               peer_handlers handlers)
+{
+    const std::string where =
+        options.listen_address + ":" + std::to_string(options.listen_port);
+    try
+    {
+        impl_ = std::make_unique<impl>(owner, std::move(options),
+                                       std::move(handlers));
+    }
+    catch (const std::exception& ex)
+    {
+        throw std::runtime_error("cannot listen on " + where + ": " +
+                                 ex.what());
+    }
+}
+
+peer_transport::~peer_transport() = default;
+
+void peer_transport::send(const std::string& vm, const std::string& address,
+                          const wire::message& msg)
+{
+    const auto it = impl_->outgoing.find(vm);
+    const auto link =
+        it == impl_->outgoing.end() ? impl_->open(vm, address) : it->second;
+    link->send(msg);
+}
+
+const peer_counters& peer_transport::counters() const
+{
+    return impl_->counters;
+}
+
+} // namespace mimosacroft::net
--- /dev/null
+++ b/lib/node/node.cpp
@@ -0,0 +1,232 @@
+// One entry VM without its sockets.
+#include "mimosacroft/node/node.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace mimosacroft::node
+{
+
+node::node(fleet::agent_options options, std::uint64_t seed)
+    : fleet_(std::move(options), seed), scatter_(fleet_, seed + 1),
+      root_(fleet_, scatter_), leaf_(fleet_)
+{
+}
+
+void node::on_search(query::search_request request, base::instant now,
+                     core::effects& out)
+{
+    if (draining_)
+    {
+        query::search_answer refused;
+        refused.ticket = request.ticket;
+        refused.search = request.search;
+        refused.trace = request.trace;
+        refused.outcome = model::outcome::not_run;
+        refused.error = "this VM is stopping";
+        answers_.push_back(std::move(refused));
+        return;
+    }
+    root_.start(std::move(request), now, out);
+    settle(now, out);
+}
+
+void node::on_message(const std::string& from, std::uint64_t incarnation,
+                      wire::message msg, base::instant now, core::effects& out)
+{
+    if (const auto* f = std::get_if<wire::forward>(&msg))
+        on_forward(from, *f, now, out);
+    else if (const auto* a = std::get_if<wire::forward_answer>(&msg))
+        scatter_.on_answer(from, *a, now, out);
+    else if (const auto* c = std::get_if<wire::cancel>(&msg))
+        on_cancel(from, *c, now, out);
+    else if (const auto* d = std::get_if<wire::digest>(&msg))
+        fleet_.on_digest(from, incarnation, *d, now, out);
+    else if (const auto* p = std::get_if<wire::config_push>(&msg))
+        fleet_.on_config(*p, now, out);
+    else if (const auto* v = std::get_if<wire::view_push>(&msg))
+        fleet_.on_view(*v, now, out);
+    settle(now, out);
+}
+
+void node::on_forward(const std::string& from, const wire::forward& msg,
+                      base::instant now, core::effects& out)
+{
+    std::vector<wire::shard_task> own;
+    std::vector<wire::shard_task> foreign;
+    for (const auto& it : msg.shards)
+        (fleet_.ownership().owns(it.upstream) ? own : foreign).push_back(it);
+    if (!own.empty())
+        leaf_.on_forward(from, msg, std::move(own), now, out);
+    if (!foreign.empty())
+        relay(from, msg, std::move(foreign), now, out);
+}
+
+void node::relay(const std::string& from, const wire::forward& msg,
+                 std::vector<wire::shard_task> tasks, base::instant now,
+                 core::effects& out)
+{
+    if (msg.hops_left == 0)
+    {
+        wire::forward_answer refused{msg.query, msg.attempt, msg.epoch, {}, {}};
+        for (const auto& it : tasks)
+        {
+            auto& report = refused.shards.emplace_back();
+            report.shard = it.shard;
+            report.lack =
+                static_cast<std::uint8_t>(model::lack_reason::no_server);
+        }
+        return send(from, std::move(refused), out);
+    }
+    query::scatter_job job;
+    job.request = msg;
+    job.request.shards.clear();
+    job.request.hops_left = static_cast<std::uint8_t>(msg.hops_left - 1);
+    job.request.parent_span = msg.attempt;
+    job.tasks = std::move(tasks);
+    job.deadline = now + base::milliseconds(msg.budget_ms);
+    const auto id = scatter_.start(std::move(job), now, out);
+    relayed_[id] = {from, msg.query, msg.attempt, msg.epoch};
+}
+
+void node::on_cancel(const std::string& from, const wire::cancel& msg,
+                     base::instant now, core::effects& out)
+{
+    leaf_.on_cancel(from, msg, now, out);
+    const auto it =
+        std::ranges::find_if(relayed_,
+                             [&](const auto& item)
+                             {
+                                 return item.second.from == from &&
+                                        item.second.attempt == msg.attempt &&
+                                        item.second.query == msg.query;
+                             });
+    if (it == relayed_.end())
+        return;
+    scatter_.abandon(it->first, out);
+    relayed_.erase(it);
+}
+
+void node::on_link_down(const std::string& vm, bool was_up, base::instant now,
+                        core::effects& out)
+{
+    out.emplace_back(
+        core::log_event{core::event_id::peer_lost,
+                        {{"peer", vm}, {"was_up", was_up ? "yes" : "no"}}});
+    scatter_.on_peer_lost(vm, was_up, now, out);
+    settle(now, out);
+}
+
+void node::on_http_reply(core::call_owner owner, std::uint64_t id,
+                         const base::result<wire::http_reply>& reply,
+                         base::instant now, core::effects& out)
+{
+    if (owner == core::call_owner::leaf)
+        leaf_.on_http_reply(id, reply, now, out);
+    else if (owner == core::call_owner::fleet)
+        fleet_.on_http_reply(id, reply, now, out);
+    settle(now, out);
+}
+
+void node::on_tick(base::instant now, core::effects& out)
+{
+    fleet_.on_tick(now, out);
+    leaf_.on_tick(now, out);
+    scatter_.on_tick(now, out);
+    settle(now, out);
+}
+
+base::instant node::next_wakeup() const
+{
+    return std::min(
+        {fleet_.next_wakeup(), leaf_.next_wakeup(), scatter_.next_wakeup()});
+}
+
+void node::begin_drain(base::instant, core::effects&)
+{
+    draining_ = true;
+}
+
+bool node::idle() const
+{
+    return root_.open() == 0 && leaf_.open() == 0 && relayed_.empty();
+}
+
+std::vector<query::search_answer> node::take_answers()
+{
+    return std::exchange(answers_, {});
+}
+
+void node::send(const std::string& vm, wire::message msg, core::effects& out)
+{
+    const auto* entry = fleet_.view().find(vm);
+    if (entry)
+        out.emplace_back(
+            core::send_peer{vm, entry->peer_address, std::move(msg)});
+}
+
+// Passes results on between the parts until nothing moves any more.
+void node::settle(base::instant now, core::effects& out)
+{
+    while (settle_once(now, out))
+    {
+    }
+}
+
+bool node::settle_once(base::instant now, core::effects& out)
+{
+    bool moved = false;
+    for (auto& answer : leaf_.take_answers())
+    {
+        send(answer.to, std::move(answer.msg), out);
+        moved = true;
+    }
+    for (auto& result : scatter_.take_finished())
+    {
+        moved = true;
+        if (root_.on_scattered(result, now, out))
+            continue;
+        const auto it = relayed_.find(result.job);
+        if (it == relayed_.end())
+            continue;
+        const auto& to = it->second;
+        send(to.from,
+             wire::forward_answer{to.query, to.attempt, to.epoch,
+                                  std::move(result.reports),
+                                  std::move(result.spans)},
+             out);
+        relayed_.erase(it);
+    }
+    std::ranges::move(root_.take_answers(), std::back_inserter(answers_));
+    return loop_back(now, out) || moved;
+}
+
+// Messages that the VM sends to itself do not leave it.
+bool node::loop_back(base::instant now, core::effects& out)
+{
+    const auto& self = fleet_.options().vm;
+    bool moved = false;
+    for (;; moved = true)
+    {
+        const auto it =
+            std::ranges::find_if(out,
+                                 [&self](const core::effect& e)
+                                 {
+                                     const auto* sent =
+                                         std::get_if<core::send_peer>(&e);
+                                     return sent && sent->vm == self;
+                                 });
+        if (it == out.end())
+            return moved;
+        auto msg = std::move(std::get<core::send_peer>(*it).msg);
+        out.erase(it);
+        if (const auto* f = std::get_if<wire::forward>(&msg))
+            on_forward(self, *f, now, out);
+        else if (const auto* a = std::get_if<wire::forward_answer>(&msg))
+            scatter_.on_answer(self, *a, now, out);
+        else if (const auto* c = std::get_if<wire::cancel>(&msg))
+            on_cancel(self, *c, now, out);
+    }
+}
+
+} // namespace mimosacroft::node
--- /dev/null
+++ b/tools/mimosad.cpp
@@ -0,0 +1,222 @@
+// mimosad: the daemon of an entry VM.
+#include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/daemon/caller_api.hpp"
+#include "mimosacroft/daemon/event_log.hpp"
+#include "mimosacroft/daemon/operator_api.hpp"
+#include "mimosacroft/daemon/serve.hpp"
+#include "mimosacroft/daemon/settings.hpp"
+#include "mimosacroft/daemon/status_page.hpp"
+#include "mimosacroft/net/http_server.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <future>
+#include <thread>
+
+namespace
+{
+
+using namespace mimosacroft;
+using daemon::setting_kind;
+
+const daemon::program this_program = {
+    "mimosad",
+    "The entry VM's daemon of mimosacroft",
+    {
+        {.name = "vm",
+         .help = "id of this VM, unique in the fleet",
+         .required = true},
+        {.name = "data-centre",
+         .help = "data centre of this VM",
+         .required = true},
+        {.name = "http-address",
+         .kind = setting_kind::address,
+         .fallback = "127.0.0.1:8080",
+         .help = "address for callers and operators"},
+        {.name = "peer-address",
+         .kind = setting_kind::address,
+         .fallback = "127.0.0.1:8090",
+         .help = "address for the other VMs"},
+        {.name = "platform-address",
+         .kind = setting_kind::address,
+         .help = "address of the platform's object API",
+         .required = true},
+        {.name = "peer-secret",
+         .help = "secret shared by the fleet",
+         .required = true,
+         .secret = true},
+        {.name = "operator-token-sha256",
+         .help = "SHA-256 of the operators' token, in hexadecimal",
+         .required = true},
+        {.name = "http-threads",
+         .kind = setting_kind::number,
+         .fallback = "200",
+         .help = "requests of callers at once",
+         .least = 4,
+         .most = 2000},
+        {.name = "max-body-bytes",
+         .kind = setting_kind::number,
+         .fallback = "1048576",
+         .help = "largest body of a request",
+         .least = 1024,
+         .most = 64 << 20},
+        {.name = "max-frame-bytes",
+         .kind = setting_kind::number,
+         .fallback = "4194304",
+         .help = "largest frame of a peer",
+         .least = 1024,
+         .most = 64 << 20},
+        {.name = "view-ttl-ms",
+         .kind = setting_kind::number,
+         .fallback = "1500",
+         .help = "an unconfirmed list of VMs is not acted on after this",
+         .least = 100,
+         .most = 60'000},
+        {.name = "handover-wait-ms",
+         .kind = setting_kind::number,
+         .fallback = "3500",
+         .help = "from gaining an upstream to using it",
+         .least = 0,
+         .most = 120'000},
+    }};
+
+wire::http_reply plain(unsigned status, std::string text)
+{
+    wire::http_reply out;
+    out.status = status;
+    out.headers["content-type"] = "text/plain; charset=utf-8";
+    out.body = std::move(text);
+    return out;
+}
+
+wire::http_reply ready(daemon::runtime& rt)
+{
+    const bool draining = rt.call([&] { return rt.node().draining(); });
+    const bool configured =
+        rt.call([&] { return rt.node().fleet().store().through() > 0; });
+    if (draining)
+        return plain(503, "stopping\n");
+    return configured ? plain(200, "ready\n")
+                      : plain(503, "no configuration yet\n");
+}
+
+wire::http_reply route(daemon::runtime& rt,
+                       const daemon::operator_options& options,
+                       const wire::http_request& request)
+{
+    const auto& path = request.path;
+    if (path.starts_with("/v1/searches/"))
+        return daemon::handle_search(rt, request);
+    if (path.starts_with("/v1/resources"))
+        return daemon::handle_resources(rt, options, request);
+    if (path.starts_with("/v1/traces/"))
+        return daemon::handle_trace(rt, options, request);
+    if (path == "/v1/status")
+        return daemon::handle_status(rt);
+    if (path == "/metrics")
+        return plain(200, rt.metrics().render());
+    if (path == "/ready")
+        return ready(rt);
+    if (path == "/")
+        return plain(200, rt.call([&] { return daemon::status_text(rt); }));
+    return daemon::refusal(404, "nothing is at the path " + path);
+}
+
+fleet::agent_options agent_options_of(const daemon::settings& s,
+                                      std::uint64_t incarnation)
+{
+    fleet::agent_options out;
+    out.vm = s.text("vm");
+    out.data_centre = s.text("data-centre");
+    out.incarnation = incarnation;
+    out.platform_address = s.text("platform-address");
+    out.ownership.view_ttl = base::milliseconds(s.number("view-ttl-ms"));
+    out.ownership.handover_wait =
+        base::milliseconds(s.number("handover-wait-ms"));
+    return out;
+}
+
+net::peer_transport_options peer_options_of(const daemon::settings& s,
+                                            std::uint64_t incarnation)
+{
+    net::peer_transport_options out;
+    out.listen_address = daemon::host_of(s.text("peer-address"));
+    out.listen_port = daemon::port_of(s.text("peer-address"));
+    out.vm = s.text("vm");
+    out.incarnation = incarnation;
+    out.secret = s.text("peer-secret");
+    out.max_frame_bytes = s.number("max-frame-bytes");
+    return out;
+}
+
+net::http_server_options http_options_of(const daemon::settings& s)
+{
+    net::http_server_options out;
+    out.address = daemon::host_of(s.text("http-address"));
+    out.port = daemon::port_of(s.text("http-address"));
+    out.max_threads = static_cast<unsigned>(s.number("http-threads"));
+    out.max_body_bytes = s.number("max-body-bytes");
+    return out;
+}
+
+// Waits for a signal to stop, and then until nothing is in flight.
+void serve_until_stopped(daemon::runtime& rt, const sigset_t& signals)
+{
+    const int number = daemon::wait_for_signal(signals);
+    daemon::write(
+        {core::event_id::stopping, {{"signal", std::to_string(number)}}});
+    std::promise<void> idle;
+    rt.drain([&idle] { idle.set_value(); });
+    idle.get_future().wait();
+}
+
+int run(const daemon::settings& s)
+{
+    const auto signals = daemon::block_stop_signals();
+    const auto incarnation = base::random_u64();
+    daemon::runtime rt(agent_options_of(s, incarnation),
+                       peer_options_of(s, incarnation));
+    const daemon::operator_options operators{s.text("operator-token-sha256"),
+                                             s.text("platform-address")};
+    std::thread loop([&rt] { rt.run(); });
+    int code = EXIT_SUCCESS;
+    try
+    {
+        // Destroyed before the loop stops: its handlers wait for the loop.
+        const net::http_server server(
+            http_options_of(s), [&](const wire::http_request& request)
+            { return route(rt, operators, request); });
+        daemon::write({core::event_id::started,
+                       {{"vm", s.text("vm")},
+                        {"http", s.text("http-address")},
+                        {"peers", s.text("peer-address")}}});
+        serve_until_stopped(rt, signals);
+    }
+    catch (const std::exception& ex)
+    {
+        std::fprintf(stderr, "mimosad: %s\n", ex.what());
+        code = EXIT_FAILURE;
+    }
+    rt.stop();
+    loop.join();
+    daemon::write({core::event_id::stopped, {}});
+    return code;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto settings = daemon::settings_or_exit(this_program, argc, argv);
+    daemon::start_log();
+    try
+    {
+        return run(settings);
+    }
+    catch (const std::exception& ex)
+    {
+        std::fprintf(stderr, "mimosad: %s\n", ex.what());
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/unittests/fleet/ownership_test.cpp
@@ -0,0 +1,74 @@
+// Tests of owners and shares.
+#include "mimosacroft/fleet/ownership.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mimosacroft;
+using base::milliseconds;
+
+namespace
+{
+
+fleet::view view_of(std::uint64_t version, const std::vector<std::string>& vms)
+{
+    std::vector<wire::view_entry> entries;
+    for (const auto& it : vms)
+        entries.push_back({it, "oostende", "127.0.0.1:1", false});
+    return {version, std::move(entries)};
+}
+
+model::catalog catalog_of()
+{
+    model::catalog out;
+    model::upstream it;
+    it.name = "u";
+    it.data_centre = "oostende";
+    it.servers = {{"a", "127.0.0.1:2", false}};
+    out.put(it);
+    return out;
+}
+
+constexpr base::instant test_start{};
+
+} // namespace
+
+TEST_GROUP(ownership){};
+
+TEST(ownership, shares_of_all_owners_stay_within_the_limits)
+{
+    const auto catalog = catalog_of();
+    const auto& upstream = *catalog.find_upstream("u");
+    for (std::size_t n = 1; n <= 9; ++n)
+    {
+        std::vector<std::string> vms;
+        for (std::size_t k = 0; k < n; ++k)
+            vms.push_back("vm-" + std::to_string(k));
+        const auto owners = view_of(1, vms).owners_of(upstream).size();
+        const auto part = fleet::share_of(upstream, owners);
+        CHECK(owners >= 1);
+        CHECK(part.slots >= 1);
+        CHECK(part.slots * owners <= upstream.slots);
+        // One more owner than there should be still fits.
+        CHECK(part.connections * (owners + 1) <= upstream.connections);
+    }
+}
+
+TEST(ownership, a_gained_upstream_is_used_only_after_the_handover)
+{
+    const auto catalog = catalog_of();
+    fleet::ownership it("vm-0", {milliseconds(100), milliseconds(300)});
+    it.update(view_of(1, {"vm-0"}), catalog, test_start);
+    it.confirm(test_start + milliseconds(299));
+    LONGS_EQUAL(0, it.usable("u", test_start + milliseconds(299)).slots);
+    LONGS_EQUAL(2, it.usable("u", test_start + milliseconds(300)).slots);
+}
+
+TEST(ownership, an_unconfirmed_view_is_not_acted_on)
+{
+    const auto catalog = catalog_of();
+    fleet::ownership it("vm-0", {milliseconds(100), milliseconds(0)});
+    it.update(view_of(1, {"vm-0"}), catalog, test_start);
+    it.confirm(test_start);
+    LONGS_EQUAL(2, it.usable("u", test_start + milliseconds(100)).slots);
+    LONGS_EQUAL(0, it.usable("u", test_start + milliseconds(101)).slots);
+}
