--- a/tools/mimosa_load.cpp
+++ b/tools/mimosa_load.cpp
@@ -94,15 +94,14 @@
         results.size() + coverage["lacking"].size() !=
             coverage["of"].get<std::size_t>())
         return false;
-    return std::ranges::all_of(results,
-                               [&](const json& it)
-                               {
-                                   const auto& result = it["result"];
-                                   return result.value("echo", "") == query &&
-                                          result.value("shard", "") ==
-                                              it["shard"] &&
-                                          result["epoch"] == answer["epoch"];
-                               });
+    const auto fits = [&](const json& it)
+    {
+        const auto& result = it["result"];
+        return result.value("echo", "") == query &&
+               result.value("shard", "") == it.value("shard", "") &&
+               result["epoch"] == answer["epoch"];
+    };
+    return std::all_of(results.begin(), results.end(), fits);
 }
 
 void take(report& all, const base::result<wire::http_reply>& reply,
--- a/unittests/main.cpp
+++ b/unittests/main.cpp
@@ -33,7 +33,8 @@
     for (const auto& it : known_red())
     {
         std::printf("known red, passed over: %s\n", it.c_str());
-        args.insert(args.end(), {"-xst", it});
+        // The runner passes over by name, so the names in the list are unique.
+        args.insert(args.end(), {"-xsn", it.substr(it.find('.') + 1)});
     }
     std::vector<char*> raw;
     for (auto& it : args)
