--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -97,7 +97,7 @@
     metrics_.add(it.owner == core::call_owner::leaf
                      ? "mimosa_upstream_calls_total"
                      : "mimosa_platform_calls_total");
-    calls_[key] = http_.call(it.address, std::move(it.request),
+    calls_[key] = http_.call(it.address, it.request,
                              {it.deadline, it.fresh_connection}, on_reply);
 }
 
@@ -174,7 +174,7 @@
     loop_.post(
         [&]
         {
-            http_.call(address, std::move(request), {now() + timeout, true},
+            http_.call(address, request, {now() + timeout, true},
                        [&done](auto reply)
                        { done.set_value(std::move(reply)); });
         });
