Experiments in process with virtual time, and plots of their reports

Cause: the decisions of a query had no measurement that a fault can be put into at an exact moment, and none that gives equal figures for equal seeds.

Change: a library, lib/load, with an event queue, a model of upstream servers and a testbed that carries out the effects of real node objects. mimosa-load gets the commands run, experiment and report; the old call without a command still sends searches.

--- a/tools/mimosa_load.cpp
+++ b/tools/mimosa_load.cpp
@@ -1,220 +1,139 @@
-// mimosa-load: sends searches, checks every answer and reports latency,
-// coverage and outcomes.
+// mimosa-load: sends searches to a running fleet, runs experiments in process,
+// and plots their reports. Without a command it sends searches.
 #include "mimosacroft/daemon/settings.hpp"
-#include "mimosacroft/net/blocking_http.hpp"
+#include "mimosacroft/load/experiments.hpp"
+#include "mimosacroft/load/http_load.hpp"
+#include "mimosacroft/load/plot.hpp"
 
 #include <algorithm>
-#include <atomic>
-#include <cmath>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
-#include <map>
-#include <mutex>
+#include <iterator>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 namespace
 {
 
 using namespace mimosacroft;
 using daemon::setting_kind;
-using nlohmann::json;
 
-const daemon::program this_program = {
-    "mimosa-load",
-    "Sends searches and reports latency, coverage and outcomes",
+const daemon::program experiment_program = {
+    "mimosa-load experiment",
+    "Runs an experiment in process with virtual time",
     {
-        {.name = "servers",
-         .fallback = "127.0.0.1:8080",
-         .help = "addresses of entry VMs, separated by commas"},
-        {.name = "search", .help = "name of the search", .required = true},
-        {.name = "token",
-         .help = "the caller's token",
-         .required = true,
-         .secret = true},
-        {.name = "requests",
-         .kind = setting_kind::number,
-         .fallback = "1000",
-         .help = "requests in all",
-         .least = 1,
-         .most = 10'000'000},
-        {.name = "clients",
-         .kind = setting_kind::number,
-         .fallback = "8",
-         .help = "requests at once",
-         .least = 1,
-         .most = 200},
-        {.name = "deadline-ms",
-         .kind = setting_kind::number,
-         .fallback = "300",
-         .help = "deadline of a request",
-         .least = 1,
-         .most = 60'000},
-        {.name = "json",
+        {.name = "list",
          .kind = setting_kind::flag,
          .fallback = "false",
-         .help = "print the report as JSON"},
-    }};
-
-constexpr base::milliseconds reply_slack{2000};
-
-struct report
-{
-    std::mutex mutex; // guards all below
-    std::vector<double> ms;
-    std::map<std::string, std::uint64_t> outcomes;
-    std::uint64_t included = 0;
-    std::uint64_t shards = 0;
-    std::uint64_t extra = 0;
-    std::uint64_t wrong = 0;
-};
-
-std::vector<std::string> split(const std::string& text)
-{
-    std::vector<std::string> out;
-    std::string part;
-    for (const char c : text + ",")
+         .help = "print the names of the experiments, one a line"},
+        {.name = "json", .help = "file to write the report to, as JSON"},
+        {.name = "seed",
+         .kind = setting_kind::number,
+         .fallback = "1",
+         .help = "seed of the random choices",
+         .most = 1'000'000},
+    },
+    "NAME"};
+
+const daemon::program report_program = {
+    "mimosa-load report",
+    "Plots the reports of experiments as SVG",
     {
-        if (c != ',')
-            part += c;
-        else if (!part.empty())
-            out.push_back(std::exchange(part, {}));
-    }
-    return out;
-}
+        {.name = "out", .help = "file to write", .required = true},
+    },
+    "FILE..."};
 
-// Whether an answer is the one to this request: each result must echo it and
-// state the answer's epoch and its own shard, and the counts must agree.
-bool is_true_answer(const json& answer, const std::string& query)
+int usage(const std::string& why)
 {
-    const auto& coverage = answer["coverage"];
-    const auto& results = answer["results"];
-    if (results.size() != coverage["included"].get<std::size_t>() ||
-        results.size() + coverage["lacking"].size() !=
-            coverage["of"].get<std::size_t>())
-        return false;
-    const auto fits = [&](const json& it)
-    {
-        const auto& result = it["result"];
-        return result.value("echo", "") == query &&
-               result.value("shard", "") == it.value("shard", "") &&
-               result["epoch"] == answer["epoch"];
-    };
-    return std::all_of(results.begin(), results.end(), fits);
+    std::cerr << "mimosa-load: " << why << "\n";
+    return daemon::exit_usage;
 }
 
-void take(report& all, const base::result<wire::http_reply>& reply,
-          const std::string& query, double ms)
+std::string names_of_experiments()
 {
-    const std::lock_guard lock(all.mutex);
-    if (!reply)
-    {
-        ++all.outcomes["error: " +
-                       std::string(base::name_of(reply.error().code))];
-        return;
-    }
-    const auto answer = json::parse(reply->body, nullptr, false);
-    if (!answer.is_object() || !answer.contains("outcome"))
-    {
-        ++all.outcomes["error: unreadable"];
-        return;
-    }
-    all.ms.push_back(ms);
-    ++all.outcomes[answer["outcome"].get<std::string>()];
-    if (!answer.contains("coverage"))
-        return;
-    all.included += answer["coverage"]["included"].get<std::uint64_t>();
-    all.shards += answer["coverage"]["of"].get<std::uint64_t>();
-    all.extra += answer.value("extra_attempts", std::uint64_t{0});
-    if (!is_true_answer(answer, query))
-        ++all.wrong;
+    std::string out;
+    for (const auto& it : load::experiments())
+        out += (out.empty() ? "" : ", ") + it.name;
+    return out;
 }
 
-void send_some(const daemon::settings& s, std::atomic<std::int64_t>& left,
-               std::size_t client, report& all)
+int list()
 {
-    const auto servers = split(s.text("servers"));
-    const base::milliseconds deadline(s.number("deadline-ms"));
-    std::vector<net::kept_connection> connections;
-    for (const auto& it : servers)
-        connections.emplace_back(it);
-    for (std::size_t n = 0; left-- > 0; ++n)
-    {
-        const auto query = std::to_string(client) + "-" + std::to_string(n);
-        wire::http_request request;
-        request.method = "POST";
-        request.path = "/v1/searches/" + s.text("search");
-        request.headers["authorization"] = "Bearer " + s.text("token");
-        request.body =
-            json{{"query", query}, {"deadline_ms", deadline.count()}}.dump();
-        const auto start = std::chrono::steady_clock::now();
-        auto& to = connections[(client + n) % connections.size()];
-        const auto reply = to.exchange(request, deadline + reply_slack);
-        const auto took = std::chrono::steady_clock::now() - start;
-        take(all, reply, json(query).dump(), base::to_seconds(took) * 1000);
-    }
+    for (const auto& it : load::experiments())
+        std::cout << it.name << ": " << it.summary << "\n";
+    return EXIT_SUCCESS;
 }
 
-double percentile(const std::vector<double>& sorted, double share)
+bool write_file(const std::string& name, const std::string& text)
 {
-    if (sorted.empty())
-        return 0;
-    const auto n = std::lround(share * static_cast<double>(sorted.size() - 1));
-    return sorted[static_cast<std::size_t>(n)];
+    std::ofstream out(name);
+    out << text;
+    out.close();
+    return out.good();
 }
 
-json to_json(report& all)
+int experiment(const daemon::settings& s)
 {
-    std::ranges::sort(all.ms);
-    return {{"requests", all.ms.size()},
-            {"p50_ms", percentile(all.ms, 0.5)},
-            {"p95_ms", percentile(all.ms, 0.95)},
-            {"p99_ms", percentile(all.ms, 0.99)},
-            {"p999_ms", percentile(all.ms, 0.999)},
-            {"coverage", all.shards == 0 ? 0.0
-                                         : static_cast<double>(all.included) /
-                                               static_cast<double>(all.shards)},
-            {"extra_load", all.shards == 0
-                               ? 0.0
-                               : static_cast<double>(all.extra) /
-                                     static_cast<double>(all.shards)},
-            {"wrong_answers", all.wrong},
-            {"outcomes", all.outcomes}};
+    if (s.flag("list"))
+        return list();
+    if (s.positional().size() != 1)
+        return usage("one experiment is needed, allowed is " +
+                     names_of_experiments());
+    const auto* it = load::find_experiment(s.positional().front());
+    if (!it)
+        return usage("experiment: found \"" + s.positional().front() +
+                     "\", allowed is " + names_of_experiments());
+    const auto report = it->run(s.number("seed"));
+    std::cout << load::to_table(report);
+    const auto& file = s.text("json");
+    if (!file.empty() &&
+        !write_file(file, load::to_json(report).dump(1) + "\n"))
+        return usage("json: cannot write " + file);
+    const bool holds = std::ranges::all_of(report.bounds, &load::bound::holds);
+    return holds ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
-void print(const json& it)
+int report(const daemon::settings& s)
 {
-    for (const auto& [key, value] : it.items())
-        std::cout << key << ": " << value.dump() << "\n";
+    if (s.positional().empty())
+        return usage("a report of an experiment is needed");
+    std::vector<load::curve> curves;
+    for (const auto& file : s.positional())
+    {
+        std::ifstream in(file);
+        const std::string text(std::istreambuf_iterator<char>(in), {});
+        const auto read = load::read_curves(text);
+        if (!read)
+            return usage(file + ": " + read.error().text);
+        curves.insert(curves.end(), read->begin(), read->end());
+    }
+    if (!write_file(s.text("out"), load::to_svg(curves)))
+        return usage("out: cannot write " + s.text("out"));
+    return EXIT_SUCCESS;
 }
 
-int run(const daemon::settings& s)
+int run_command(int argc, char** argv)
 {
-    report all;
-    std::atomic<std::int64_t> left(
-        static_cast<std::int64_t>(s.number("requests")));
-    std::vector<std::thread> clients;
-    for (std::size_t n = 0; n < s.number("clients"); ++n)
-        clients.emplace_back([&, n] { send_some(s, left, n, all); });
-    for (auto& it : clients)
-        it.join();
-    const auto out = to_json(all);
-    if (s.flag("json"))
-        std::cout << out.dump(2) << "\n";
-    else
-        print(out);
-    return all.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    const std::string command = argc > 1 ? argv[1] : "";
+    if (command == "experiment")
+        return experiment(
+            daemon::settings_or_exit(experiment_program, argc - 1, argv + 1));
+    if (command == "report")
+        return report(
+            daemon::settings_or_exit(report_program, argc - 1, argv + 1));
+    const int skip = command == "run" ? 1 : 0;
+    return load::run_load(daemon::settings_or_exit(load::load_program(),
+                                                   argc - skip, argv + skip));
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const auto settings = daemon::settings_or_exit(this_program, argc, argv);
     try
     {
-        return run(settings);
+        return run_command(argc, argv);
     }
     catch (const std::exception& ex)
     {
