Options of the leaf, passed through the node and mimosad's flags

Cause: experiments switch each mechanism of the leaf on and off. Touches node, runtime and mimosad for the plumbing only.

--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -24,7 +24,8 @@
 class runtime
 {
 public:
-    runtime(fleet::agent_options fleet, net::peer_transport_options peers);
+    runtime(fleet::agent_options fleet, net::peer_transport_options peers,
+            node::node_options options = {});
 
     /// Runs until stop().
     void run();
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -16,10 +16,17 @@
 namespace mimosacroft::node
 {
 
+/// Settings of the parts of a node that are not the fleet's.
+struct node_options
+{
+    query::leaf_options leaf;
+};
+
 class node
 {
 public:
-    node(fleet::agent_options options, std::uint64_t seed);
+    node(fleet::agent_options fleet, std::uint64_t seed,
+         node_options options = {});
 
     void on_search(query::search_request request, base::instant now,
                    core::effects& out);
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -5,6 +5,7 @@
 
 #include "mimosacroft/core/effects.hpp"
 #include "mimosacroft/fleet/agent.hpp"
+#include "mimosacroft/query/leaf_options.hpp"
 #include "mimosacroft/query/upstream_codec.hpp"
 
 #include <cstdint>
@@ -27,7 +28,7 @@
 class leaf
 {
 public:
-    explicit leaf(fleet::agent& fleet);
+    explicit leaf(fleet::agent& fleet, leaf_options options = {});
 
     /// Takes the tasks of a forward whose upstreams this VM owns.
     void on_forward(const std::string& from, const wire::forward& msg,
@@ -106,6 +107,7 @@
     open_task* find(const task_key& key);
 
     fleet::agent& fleet_;
+    leaf_options options_;
     std::uint64_t last_call_ = 0;
     base::instant ticked_; ///< last on_tick()
     std::map<forward_key, open_forward> forwards_;
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-runtime::runtime(fleet::agent_options fleet, net::peer_transport_options peers)
-    : node_(std::move(fleet), base::random_u64()), http_(loop_),
+runtime::runtime(fleet::agent_options fleet, net::peer_transport_options peers,
+                 node::node_options options)
+    : node_(std::move(fleet), base::random_u64(), options), http_(loop_),
       peers_(loop_, std::move(peers),
              {[this](const std::string& vm, std::uint64_t incarnation,
                      wire::message msg)
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -7,9 +7,9 @@
 namespace mimosacroft::node
 {
 
-node::node(fleet::agent_options options, std::uint64_t seed)
-    : fleet_(std::move(options), seed), scatter_(fleet_, seed + 1),
-      root_(fleet_, scatter_), leaf_(fleet_)
+node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
+    : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
+      root_(fleet_, scatter_), leaf_(fleet_, options.leaf)
 {
 }
 
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -37,7 +37,10 @@
 
 } // namespace
 
-leaf::leaf(fleet::agent& fleet) : fleet_(fleet) {}
+leaf::leaf(fleet::agent& fleet, leaf_options options)
+    : fleet_(fleet), options_(options)
+{
+}
 
 void leaf::on_forward(const std::string& from, const wire::forward& msg,
                       std::vector<wire::shard_task> tasks, base::instant now,
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -79,6 +79,22 @@
          .help = "from gaining an upstream to using it",
          .least = 0,
          .most = 120'000},
+        {.name = "hedging",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "sends a second request to another replica when one is slow"},
+        {.name = "replica-choice",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "chooses replicas by latency and load"},
+        {.name = "ejection",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "keeps servers that fail again and again out for a while"},
+        {.name = "priorities",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "serves urgent requests and early deadlines first"},
     }};
 
 wire::http_reply plain(unsigned status, std::string text)
@@ -137,6 +153,16 @@
     return out;
 }
 
+node::node_options node_options_of(const daemon::settings& s)
+{
+    node::node_options out;
+    out.leaf.hedging = s.flag("hedging");
+    out.leaf.replica_choice = s.flag("replica-choice");
+    out.leaf.ejection = s.flag("ejection");
+    out.leaf.priorities = s.flag("priorities");
+    return out;
+}
+
 net::peer_transport_options peer_options_of(const daemon::settings& s,
                                             std::uint64_t incarnation)
 {
@@ -176,7 +202,7 @@
     const auto signals = daemon::block_stop_signals();
     const auto incarnation = base::random_u64();
     daemon::runtime rt(agent_options_of(s, incarnation),
-                       peer_options_of(s, incarnation));
+                       peer_options_of(s, incarnation), node_options_of(s));
     const daemon::operator_options operators{s.text("operator-token-sha256"),
                                              s.text("platform-address")};
     std::thread loop([&rt] { rt.run(); });
