Stop a VM under load without cutting a request

Cause: SIGTERM refused every new search at once and told nobody; peers went on to send forwards, replies in the peers' socket queues could be lost, and a keep-alive caller learned of the end by a closed connection.

Change: /ready refuses first; peers get a drain notice, which bars this incarnation of the VM from new forwards; a forward that still arrives is refused as not run and the root asks another owner; searches are taken for drain-grace-ms more, each reply closes its connection; the process ends once nothing is in flight, the peer links are flushed and callers are quiet. An exception in a handler is reported as event 110 and ends that handler only.

Small changes outside of the daemon: wire (drain_notice), fleet/agent (note_draining, is_draining), query/scatter (does not route to a draining VM, asks again when one refused).

Ruled out: a row in the digest, which reaches a peer only by the next round.

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -17,6 +17,8 @@
     stopping = 101,
     stopped = 102,
     setting_refused = 103,
+    handler_failed = 110,
+    peer_draining = 111,
     // 200 to 299: queries at their root.
     query_finished = 200,
     answer_dropped = 201,
@@ -55,6 +57,8 @@
     {event_id::stopping, severity::info, "stopping"},
     {event_id::stopped, severity::info, "stopped"},
     {event_id::setting_refused, severity::error, "setting_refused"},
+    {event_id::handler_failed, severity::error, "handler_failed"},
+    {event_id::peer_draining, severity::info, "peer_draining"},
     {event_id::query_finished, severity::info, "query_finished"},
     {event_id::answer_dropped, severity::warning, "answer_dropped"},
     {event_id::upstream_failed, severity::warning, "upstream_failed"},
--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -12,6 +12,7 @@
 #include "mimosacroft/node/node.hpp"
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <future>
 #include <map>
@@ -36,7 +37,18 @@
     auto call(Fn fn)
     {
         std::promise<decltype(fn())> done;
-        loop_.post([&] { done.set_value(fn()); });
+        loop_.post(
+            [&]
+            {
+                try
+                {
+                    done.set_value(fn());
+                }
+                catch (...)
+                {
+                    done.set_exception(std::current_exception());
+                }
+            });
         return done.get_future().get();
     }
 
@@ -48,8 +60,10 @@
                                             wire::http_request request,
                                             base::milliseconds timeout);
 
-    /// Stops taking work; `fn` runs on the loop once nothing is in flight.
-    void drain(std::function<void()> fn);
+    /// Tells the peers that this VM stops and takes no more forwards of them.
+    /// Searches are refused after `grace`. `fn` runs on the loop once nothing
+    /// is in flight any more.
+    void drain(base::milliseconds grace, std::function<void()> fn);
 
     /// Only on the loop's thread.
     const node::node& node() const { return node_; }
@@ -75,8 +89,10 @@
     void carry_out(const core::abandon_call& it);
     void carry_out(const core::log_event& it);
     void deliver_answers();
+    void fail_search(std::uint64_t ticket, std::exception_ptr why);
     void arm_timer();
     void check_drained();
+    void await_flush(base::instant due);
 
     net::loop loop_;
     daemon::metrics metrics_;
--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -75,6 +75,14 @@
     void mark_leaving(const std::string& server,
                       const std::string& incarnation);
 
+    /// Learns that a peer's process stops and takes no new forwards.
+    void note_draining(const std::string& vm, std::uint64_t incarnation);
+    /// Whether the process of a VM that was heard last is stopping.
+    bool is_draining(const std::string& vm) const
+    {
+        return draining_.contains(vm);
+    }
+
     /// When the platform answered last; never if it has not.
     base::instant platform_heard() const { return platform_heard_; }
     bool platform_ok() const { return platform_ok_; }
@@ -105,7 +113,8 @@
     fleet::ownership ownership_;
     std::map<std::string, peer_knowledge> peers_;
     std::set<std::pair<std::string, std::string>> leaving_;
-    std::map<std::uint64_t, request_kind> calls_; ///< open calls
+    std::map<std::string, std::uint64_t> draining_; ///< VM to incarnation
+    std::map<std::uint64_t, request_kind> calls_;   ///< open calls
     std::uint64_t last_call_ = 0;
     std::uint64_t sequence_ = 0;
     base::instant next_watch_;
--- a/include/mimosacroft/net/loop.hpp
+++ b/include/mimosacroft/net/loop.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace mimosacroft::net
 {
@@ -19,9 +20,13 @@
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
 
-    /// Runs until stop(). Timers use the monotonic clock.
+    /// Runs until stop(). Timers use the monotonic clock. An exception of a
+    /// handler ends that handler only and is reported.
     void run();
 
+    /// Where exceptions of handlers are reported. Before run().
+    void on_failure(std::function<void(const std::string& what)> fn);
+
     /// May be called from any thread.
     void stop();
 
--- a/include/mimosacroft/net/peer_transport.hpp
+++ b/include/mimosacroft/net/peer_transport.hpp
@@ -67,6 +67,9 @@
     void send(const std::string& vm, const std::string& address,
               const wire::message& msg);
 
+    /// Whether every message that was sent has been handed to the network.
+    bool flushed() const;
+
     const peer_counters& counters() const;
 
 private:
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -33,9 +33,12 @@
     void on_tick(base::instant now, core::effects& out);
     base::instant next_wakeup() const;
 
-    /// Refuses new requests and forwards from now on.
+    /// Tells the peers that this VM stops, and refuses their new forwards as
+    /// not run. Searches are still taken, until the balancer has noticed.
     void begin_drain(base::instant now, core::effects& out);
     bool draining() const { return draining_; }
+    /// Answers new searches with not_run from now on.
+    void refuse_searches() { refuses_searches_ = true; }
     /// Nothing is in flight.
     bool idle() const;
 
@@ -60,6 +63,10 @@
                     base::instant now, core::effects& out);
     void on_cancel(const std::string& from, const wire::cancel& msg,
                    base::instant now, core::effects& out);
+    void on_drain_notice(const std::string& from, const wire::drain_notice& msg,
+                         core::effects& out);
+    void refuse_forward(const std::string& from, const wire::forward& msg,
+                        core::effects& out);
     void relay(const std::string& from, const wire::forward& msg,
                std::vector<wire::shard_task> tasks, base::instant now,
                core::effects& out);
@@ -75,6 +82,7 @@
     std::map<std::uint64_t, relayed> relayed_; ///< by scatter job
     std::vector<query::search_answer> answers_;
     bool draining_ = false;
+    bool refuses_searches_ = false; ///< implies draining_
 };
 
 } // namespace mimosacroft::node
--- a/include/mimosacroft/wire/messages.hpp
+++ b/include/mimosacroft/wire/messages.hpp
@@ -208,8 +208,16 @@
     MSGPACK_DEFINE_ARRAY(version, entries)
 };
 
+/// The sender's process stops: it finishes what it has and takes no new
+/// forward. Bars only this incarnation of it.
+struct drain_notice
+{
+    std::uint64_t incarnation = 0;
+    MSGPACK_DEFINE_ARRAY(incarnation)
+};
+
 using message = std::variant<hello, proof, forward, forward_answer, cancel,
-                             config_push, digest, view_push>;
+                             config_push, digest, view_push, drain_notice>;
 
 /// Packs a message without its frame header.
 std::string pack(const message& msg);
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -18,6 +18,9 @@
 /// How often a draining VM looks whether it is idle.
 constexpr base::milliseconds drain_check{10};
 
+/// The longest wait for a peer that does not read what it was sent.
+constexpr base::milliseconds flush_limit{2000};
+
 } // namespace
 
 runtime::runtime(fleet::agent_options fleet, net::peer_transport_options peers)
@@ -51,6 +54,12 @@
 
 void runtime::run()
 {
+    loop_.on_failure(
+        [this](const std::string& what)
+        {
+            carry_out(core::log_event{core::event_id::handler_failed,
+                                      {{"step", "loop"}, {"reason", what}}});
+        });
     loop_.post(
         [this]
         {
@@ -159,13 +168,31 @@
         [this, &request, &done]
         {
             request.ticket = ++last_ticket_;
-            waiting_.emplace(request.ticket, std::move(done));
-            step([&](base::instant t, core::effects& out)
-                 { node_.on_search(std::move(request), t, out); });
+            const auto ticket = request.ticket;
+            waiting_.emplace(ticket, std::move(done));
+            try
+            {
+                step([&](base::instant t, core::effects& out)
+                     { node_.on_search(std::move(request), t, out); });
+            }
+            catch (...)
+            {
+                fail_search(ticket, std::current_exception());
+                throw;
+            }
         });
     return answer.get();
 }
 
+void runtime::fail_search(std::uint64_t ticket, std::exception_ptr why)
+{
+    const auto it = waiting_.find(ticket);
+    if (it == waiting_.end())
+        return;
+    it->second.set_exception(std::move(why));
+    waiting_.erase(it);
+}
+
 base::result<wire::http_reply> runtime::exchange(const std::string& address,
                                                  wire::http_request request,
                                                  base::milliseconds timeout)
@@ -181,23 +208,35 @@
     return done.get_future().get();
 }
 
-void runtime::drain(std::function<void()> fn)
+void runtime::drain(base::milliseconds grace, std::function<void()> fn)
 {
     loop_.post(
-        [this, fn = std::move(fn)]
+        [this, grace, fn = std::move(fn)]
         {
             on_drained_ = fn;
             step([this](base::instant t, core::effects& out)
                  { node_.begin_drain(t, out); });
-            check_drained();
+            loop_.at(now() + grace,
+                     [this]
+                     {
+                         node_.refuse_searches();
+                         check_drained();
+                     });
         });
 }
 
 void runtime::check_drained()
 {
     if (node_.idle() && waiting_.empty())
-        return on_drained_();
+        return await_flush(now() + flush_limit);
     loop_.at(now() + drain_check, [this] { check_drained(); });
 }
 
+void runtime::await_flush(base::instant due)
+{
+    if (peers_.flushed() || now() >= due)
+        return on_drained_();
+    loop_.at(now() + drain_check, [this, due] { await_flush(due); });
+}
+
 } // namespace mimosacroft::daemon
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -195,6 +195,9 @@
                       core::effects& out)
 {
     peers_[from] = {incarnation, msg.config_version, now};
+    const auto draining = draining_.find(from);
+    if (draining != draining_.end() && draining->second != incarnation)
+        draining_.erase(draining);
     for (const auto& mark : msg.leaving)
         mark_leaving(mark.server, mark.incarnation);
     const auto* sender = view_.find(from);
@@ -218,6 +221,11 @@
     return leaving_.contains({server, incarnation});
 }
 
+void agent::note_draining(const std::string& vm, std::uint64_t incarnation)
+{
+    draining_[vm] = incarnation;
+}
+
 void agent::mark_leaving(const std::string& server,
                          const std::string& incarnation)
 {
--- a/lib/net/loop.cpp
+++ b/lib/net/loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cxxtools/selector.h>
+#include <exception>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -28,6 +29,21 @@
     std::vector<std::function<void()>> posted; // guarded by mutex
     std::multimap<base::instant, std::function<void()>> timers;
     std::atomic<bool> stopped{false};
+    std::function<void(const std::string&)> on_failure;
+
+    template <typename Fn>
+    void guarded(const Fn& fn)
+    {
+        try
+        {
+            fn();
+        }
+        catch (const std::exception& ex)
+        {
+            if (on_failure)
+                on_failure(ex.what());
+        }
+    }
 
     std::vector<std::function<void()>> take_posted()
     {
@@ -41,7 +57,7 @@
         while (!timers.empty() && timers.begin()->first <= now)
         {
             auto node = timers.extract(timers.begin());
-            node.mapped()();
+            guarded(node.mapped());
         }
     }
 
@@ -65,14 +81,19 @@
     while (!impl_->stopped)
     {
         for (auto& fn : impl_->take_posted())
-            fn();
+            impl_->guarded(fn);
         impl_->run_due_timers();
         if (impl_->stopped)
             break;
-        impl_->selector.wait(impl_->wait_ms());
+        impl_->guarded([this] { impl_->selector.wait(impl_->wait_ms()); });
     }
 }
 
+void loop::on_failure(std::function<void(const std::string& what)> fn)
+{
+    impl_->on_failure = std::move(fn);
+}
+
 void loop::stop()
 {
     impl_->stopped = true;
--- a/lib/net/peer_transport.cpp
+++ b/lib/net/peer_transport.cpp
@@ -98,6 +98,10 @@
         write(frame);
     }
 
+    bool flushed() const
+    {
+        return before_ready_.empty() && waiting_.empty() && sending_.empty();
+    }
     bool ready() const { return handshake_.done(); }
     bool open_failed() const { return closing_ && !ready(); }
     bool closing() const { return closing_; }
@@ -385,6 +389,12 @@
     link->send(msg);
 }
 
+bool peer_transport::flushed() const
+{
+    return std::all_of(impl_->outgoing.begin(), impl_->outgoing.end(),
+                       [](const auto& it) { return it.second->flushed(); });
+}
+
 const peer_counters& peer_transport::counters() const
 {
     return impl_->counters;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -16,7 +16,7 @@
 void node::on_search(query::search_request request, base::instant now,
                      core::effects& out)
 {
-    if (draining_)
+    if (refuses_searches_)
     {
         query::search_answer refused;
         refused.ticket = request.ticket;
@@ -46,12 +46,16 @@
         fleet_.on_config(*p, now, out);
     else if (const auto* v = std::get_if<wire::view_push>(&msg))
         fleet_.on_view(*v, now, out);
+    else if (const auto* n = std::get_if<wire::drain_notice>(&msg))
+        on_drain_notice(from, *n, out);
     settle(now, out);
 }
 
 void node::on_forward(const std::string& from, const wire::forward& msg,
                       base::instant now, core::effects& out)
 {
+    if (draining_ && from != fleet_.options().vm)
+        return refuse_forward(from, msg, out);
     std::vector<wire::shard_task> own;
     std::vector<wire::shard_task> foreign;
     for (const auto& it : msg.shards)
@@ -62,6 +66,31 @@
         relay(from, msg, std::move(foreign), now, out);
 }
 
+// The notice goes first, so that the root knows why and asks another VM.
+void node::refuse_forward(const std::string& from, const wire::forward& msg,
+                          core::effects& out)
+{
+    send(from, wire::drain_notice{fleet_.options().incarnation}, out);
+    wire::forward_answer refused{msg.query, msg.attempt, msg.epoch, {}, {}};
+    for (const auto& it : msg.shards)
+    {
+        auto& report = refused.shards.emplace_back();
+        report.shard = it.shard;
+        report.lack = static_cast<std::uint8_t>(model::lack_reason::refused);
+    }
+    send(from, std::move(refused), out);
+}
+
+void node::on_drain_notice(const std::string& from,
+                           const wire::drain_notice& msg, core::effects& out)
+{
+    if (fleet_.is_draining(from))
+        return;
+    fleet_.note_draining(from, msg.incarnation);
+    out.emplace_back(
+        core::log_event{core::event_id::peer_draining, {{"peer", from}}});
+}
+
 void node::relay(const std::string& from, const wire::forward& msg,
                  std::vector<wire::shard_task> tasks, base::instant now,
                  core::effects& out)
@@ -142,9 +171,12 @@
         {fleet_.next_wakeup(), leaf_.next_wakeup(), scatter_.next_wakeup()});
 }
 
-void node::begin_drain(base::instant, core::effects&)
+void node::begin_drain(base::instant, core::effects& out)
 {
     draining_ = true;
+    for (const auto& it : fleet_.view().entries())
+        if (it.vm != fleet_.options().vm)
+            send(it.vm, wire::drain_notice{fleet_.options().incarnation}, out);
 }
 
 bool node::idle() const
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -22,6 +22,13 @@
     return out;
 }
 
+// Whether a VM refused a shard before anything ran.
+bool is_refusal(const wire::shard_report& it)
+{
+    return !it.included && !it.maybe_run &&
+           it.lack == static_cast<std::uint8_t>(model::lack_reason::refused);
+}
+
 std::uint32_t budget_ms(base::instant deadline, base::instant now)
 {
     const auto left = base::to_ms(deadline - now - hop_margin);
@@ -65,8 +72,8 @@
     const bool near = upstream->data_centre == own.data_centre;
     auto targets = near ? fleet_.view().owners_of(*upstream)
                         : fleet_.view().members_of(upstream->data_centre);
-    std::erase_if(targets, [&it](const std::string& vm)
-                  { return it.tried.contains(vm); });
+    std::erase_if(targets, [&](const std::string& vm)
+                  { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
         return {};
     if (std::ranges::find(targets, own.vm) != targets.end())
@@ -160,6 +167,7 @@
         return drop("answer states another epoch");
 
     auto& open = it->second.tasks;
+    std::vector<std::size_t> again;
     for (const auto& shard : msg.shards)
     {
         const auto at = std::ranges::find_if(
@@ -170,7 +178,13 @@
             drop("shard was not asked of this VM");
             continue;
         }
-        report(job, *at, shard);
+        if (fleet_.is_draining(from) && is_refusal(shard))
+        {
+            job.tasks[*at].tried.insert(from);
+            again.push_back(*at);
+        }
+        else
+            report(job, *at, shard);
         open.erase(at);
     }
     wire::span hop;
@@ -189,6 +203,7 @@
     job.spans.insert(job.spans.end(), msg.spans.begin(), msg.spans.end());
     if (open.empty())
         forwards_.erase(it);
+    dispatch(id, again, now, out);
     finish_if_complete(id);
 }
 
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -8,6 +8,8 @@
 #include "mimosacroft/daemon/status_page.hpp"
 #include "mimosacroft/net/http_server.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -79,6 +81,13 @@
          .help = "from gaining an upstream to using it",
          .least = 0,
          .most = 120'000},
+        {.name = "drain-grace-ms",
+         .kind = setting_kind::number,
+         .fallback = "2000",
+         .help = "after a signal to stop: searches are still taken for this "
+                 "time, until the balancer has seen /ready refuse",
+         .least = 0,
+         .most = 60'000},
     }};
 
 wire::http_reply plain(unsigned status, std::string text)
@@ -90,18 +99,79 @@
     return out;
 }
 
-wire::http_reply ready(daemon::runtime& rt)
+// Counts the requests that callers and operators have on their way, and knows
+// whether the process stops.
+class front_door
+{
+public:
+    /// Answers one request; an unexpected failure is an error of this one only.
+    template <typename Fn>
+    wire::http_reply serve(Fn fn)
+    {
+        ++running_;
+        auto out = guarded(fn);
+        if (stopping_)
+            out.headers["connection"] = "close";
+        last_end_ = std::chrono::steady_clock::now();
+        --running_;
+        return out;
+    }
+
+    void stop() { stopping_ = true; }
+    bool stopping() const { return stopping_; }
+
+    /// Waits until no request has come for a while: replies that are written
+    /// meanwhile, and requests that were on their way, are not cut.
+    void wait_until_quiet() const
+    {
+        const auto due = std::chrono::steady_clock::now() + quiet_limit;
+        while (std::chrono::steady_clock::now() < due && !quiet())
+            std::this_thread::sleep_for(quiet_check);
+    }
+
+private:
+    static constexpr base::milliseconds quiet_time{300};
+    static constexpr base::milliseconds quiet_limit{3000};
+    static constexpr base::milliseconds quiet_check{10};
+
+    template <typename Fn>
+    static wire::http_reply guarded(Fn fn)
+    {
+        try
+        {
+            return fn();
+        }
+        catch (const std::exception& ex)
+        {
+            daemon::write({core::event_id::handler_failed,
+                           {{"step", "answer"}, {"reason", ex.what()}}});
+            return daemon::refusal(500, "the request failed inside this VM");
+        }
+    }
+
+    bool quiet() const
+    {
+        return running_ == 0 &&
+               std::chrono::steady_clock::now() - last_end_.load() >=
+                   quiet_time;
+    }
+
+    std::atomic<int> running_{0};
+    std::atomic<bool> stopping_{false};
+    std::atomic<base::instant> last_end_{std::chrono::steady_clock::now()};
+};
+
+wire::http_reply ready(daemon::runtime& rt, const front_door& door)
 {
-    const bool draining = rt.call([&] { return rt.node().draining(); });
     const bool configured =
         rt.call([&] { return rt.node().fleet().store().through() > 0; });
-    if (draining)
+    if (door.stopping())
         return plain(503, "stopping\n");
     return configured ? plain(200, "ready\n")
                       : plain(503, "no configuration yet\n");
 }
 
-wire::http_reply route(daemon::runtime& rt,
+wire::http_reply route(daemon::runtime& rt, const front_door& door,
                        const daemon::operator_options& options,
                        const wire::http_request& request)
 {
@@ -117,7 +187,7 @@
     if (path == "/metrics")
         return plain(200, rt.metrics().render());
     if (path == "/ready")
-        return ready(rt);
+        return ready(rt, door);
     if (path == "/")
         return plain(200, rt.call([&] { return daemon::status_text(rt); }));
     return daemon::refusal(404, "nothing is at the path " + path);
@@ -160,15 +230,19 @@
     return out;
 }
 
-// Waits for a signal to stop, and then until nothing is in flight.
-void serve_until_stopped(daemon::runtime& rt, const sigset_t& signals)
+// Waits for a signal to stop, and then until nothing is in flight. The ready
+// check refuses first, then the peers hear it.
+void serve_until_stopped(daemon::runtime& rt, front_door& door,
+                         base::milliseconds grace, const sigset_t& signals)
 {
     const int number = daemon::wait_for_signal(signals);
     daemon::write(
         {core::event_id::stopping, {{"signal", std::to_string(number)}}});
+    door.stop();
     std::promise<void> idle;
-    rt.drain([&idle] { idle.set_value(); });
+    rt.drain(grace, [&idle] { idle.set_value(); });
     idle.get_future().wait();
+    door.wait_until_quiet();
 }
 
 int run(const daemon::settings& s)
@@ -179,19 +253,25 @@
                        peer_options_of(s, incarnation));
     const daemon::operator_options operators{s.text("operator-token-sha256"),
                                              s.text("platform-address")};
+    front_door door;
     std::thread loop([&rt] { rt.run(); });
     int code = EXIT_SUCCESS;
     try
     {
         // Destroyed before the loop stops: its handlers wait for the loop.
         const net::http_server server(
-            http_options_of(s), [&](const wire::http_request& request)
-            { return route(rt, operators, request); });
+            http_options_of(s),
+            [&](const wire::http_request& request)
+            {
+                return door.serve(
+                    [&] { return route(rt, door, operators, request); });
+            });
         daemon::write({core::event_id::started,
                        {{"vm", s.text("vm")},
                         {"http", s.text("http-address")},
                         {"peers", s.text("peer-address")}}});
-        serve_until_stopped(rt, signals);
+        serve_until_stopped(
+            rt, door, base::milliseconds(s.number("drain-grace-ms")), signals);
     }
     catch (const std::exception& ex)
     {
