--- a/lib/load/experiments.cpp
+++ b/lib/load/experiments.cpp
@@ -14,15 +14,38 @@
 constexpr double most_extra_load = 0.05;
 constexpr double most_ms = 300;
 
-/// What may be switched off.
+/// The leaf's mechanisms, some of them switched off.
 struct mechanisms
 {
     std::string variant;
+    query::leaf_options leaf;
 };
 
+/// Our own baseline: every mechanism off.
+mechanisms all_off()
+{
+    return {"all off",
+            {.hedging = false,
+             .replica_choice = false,
+             .budget = false,
+             .ejection = false,
+             .priorities = false}};
+}
+
 std::vector<mechanisms> all_mechanisms()
 {
-    return {{"all on"}};
+    return {{"all on", {}},
+            {"hedging off", {.hedging = false}},
+            {"replica choice off", {.replica_choice = false}},
+            {"budget off", {.budget = false}},
+            {"ejection off", {.ejection = false}},
+            {"priorities off", {.priorities = false}},
+            all_off()};
+}
+
+std::vector<mechanisms> on_and_off()
+{
+    return {{"all on", {}}, all_off()};
 }
 
 workload workload_of(std::uint64_t seed, const mechanisms& it)
@@ -30,8 +53,12 @@
     workload out;
     out.variant = it.variant;
     out.bed = testbed_of_today(seed);
-    out.bed.make_node = [](fleet::agent_options fleet, std::uint64_t node_seed)
-    { return std::make_unique<node::node>(std::move(fleet), node_seed); };
+    out.bed.make_node =
+        [leaf = it.leaf](fleet::agent_options fleet, std::uint64_t node_seed)
+    {
+        return std::make_unique<node::node>(std::move(fleet), node_seed,
+                                            node::node_options{leaf});
+    };
     return out;
 }
 
@@ -104,7 +131,7 @@
 experiment_report overload(std::uint64_t seed)
 {
     std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
+    for (const auto& it : on_and_off())
         variants.push_back(run(with_overload(workload_of(seed, it))));
     auto out = finish("overload", seed, std::move(variants));
     const auto& seen = out.variants.front().figures;
@@ -141,7 +168,7 @@
 experiment_report lying_load(std::uint64_t seed)
 {
     std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
+    for (const auto& it : on_and_off())
         variants.push_back(run(with_lying_load(workload_of(seed, it))));
     auto out = finish("lying-load", seed, std::move(variants));
     out.bounds.push_back({"all on: p99, ms",
@@ -166,7 +193,7 @@
 experiment_report fail_fast(std::uint64_t seed)
 {
     std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
+    for (const auto& it : on_and_off())
         variants.push_back(run(with_fail_fast(workload_of(seed, it))));
     auto out = finish("fail-fast", seed, std::move(variants));
     out.bounds.push_back({"all on: share of shards lacking",
@@ -191,7 +218,7 @@
 experiment_report leaf_loss(std::uint64_t seed)
 {
     std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
+    for (const auto& it : on_and_off())
         variants.push_back(run(with_leaf_loss(workload_of(seed, it))));
     return finish("leaf-loss", seed, std::move(variants));
 }
@@ -228,7 +255,7 @@
 experiment_report epoch_change(std::uint64_t seed)
 {
     std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
+    for (const auto& it : on_and_off())
         variants.push_back(run(with_epoch_changes(workload_of(seed, it))));
     return finish("epoch-change", seed, std::move(variants));
 }
@@ -245,7 +272,7 @@
 
 experiment_report owners(std::uint64_t seed)
 {
-    const auto base = workload_of(seed, all_mechanisms().front());
+    const auto base = workload_of(seed, on_and_off().front());
     return finish("owners", seed,
                   {run(with_three_slots(base, "owners", false)),
                    run(with_three_slots(base, "even shares", true)),
