Watch from two VMs of a data centre, lease views, spread leaving marks

Cause: every VM watched the platform, pushes trusted the sender's version across gaps, an older store would have stalled the watch, and two VMs that were cut off confirmed each other's old view for ever. Change: the first two VMs of a data centre watch and poll the list for the others and push what is new; a push names where it starts; digests mend the rest and carry a fingerprint of the objects. The platform client has a budget, back-off and jitter. Views are leased: confirmed by the platform, by a VM that was, or by a quorum of the data centre; ages count from when the question was sent. A gain waits until a quorum has left the older view. Leaving marks end with their age and are pushed at once. Members are probed, doubted and then suspected. A fresh VM may ask seeds (--seeds). Ruled out: confirmation by any one peer (two VMs that are cut off together keep an old view); a random digest as confirmation (its age adds up). Also touches node.cpp (one call for all fleet messages) and the query fixture (no wait for a quorum).

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -27,11 +27,18 @@
     view_changed = 400,
     peer_lost = 401,
     link_refused = 402,
+    view_older = 410,
+    server_leaving = 411,
     // 500 to 599: configuration and the platform.
     config_applied = 500,
     config_refused = 501,
     platform_lost = 502,
     platform_back = 503,
+    platform_stale = 510,
+    platform_older = 511,
+    object_older = 512,
+    platform_reply_refused = 513,
+    config_repaired = 514,
     // 600 to 699: callers and operators.
     caller_refused = 600
 };
@@ -63,10 +70,18 @@
     {event_id::view_changed, severity::info, "view_changed"},
     {event_id::peer_lost, severity::warning, "peer_lost"},
     {event_id::link_refused, severity::warning, "link_refused"},
+    {event_id::view_older, severity::warning, "view_older"},
+    {event_id::server_leaving, severity::info, "server_leaving"},
     {event_id::config_applied, severity::info, "config_applied"},
     {event_id::config_refused, severity::error, "config_refused"},
     {event_id::platform_lost, severity::warning, "platform_lost"},
     {event_id::platform_back, severity::info, "platform_back"},
+    {event_id::platform_stale, severity::warning, "platform_stale"},
+    {event_id::platform_older, severity::error, "platform_older"},
+    {event_id::object_older, severity::warning, "object_older"},
+    {event_id::platform_reply_refused, severity::warning,
+     "platform_reply_refused"},
+    {event_id::config_repaired, severity::warning, "config_repaired"},
     {event_id::caller_refused, severity::warning, "caller_refused"},
 });
 
--- a/include/mimosacroft/fleet/config_store.hpp
+++ b/include/mimosacroft/fleet/config_store.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,14 @@
     refused ///< the object is invalid; the last good one stays in force
 };
 
+/// Objects in one push, so that a frame stays below a megabyte.
+inline constexpr std::size_t max_push_bytes = 512 << 10;
+
+/// Splits a push into messages of at most `max_bytes` each (or one object);
+/// taken in order they say the same as the whole.
+std::vector<wire::config_push> split_push(wire::config_push all,
+                                          std::size_t max_bytes);
+
 class config_store
 {
 public:
@@ -43,9 +52,24 @@
     /// The highest version up to which nothing is missing.
     std::uint64_t through() const { return through_; }
 
-    /// Objects and tombstones with a version above `version`.
+    /// Objects and tombstones with a version above `version`, oldest first.
+    /// With an object whose latest version is invalid goes the one in force.
     std::vector<wire::config_entry> entries_after(std::uint64_t version) const;
 
+    /// What a peer lacks that holds everything through `version`, in messages
+    /// of at most `max_bytes` (or one object).
+    std::vector<wire::config_push> pushes_after(std::uint64_t version,
+                                                std::size_t max_bytes) const;
+
+    /// The highest version of an object up to `version`; nothing changed
+    /// between the two as far as this store knows.
+    std::uint64_t last_change(std::uint64_t version) const;
+
+    /// A sum over the objects up to through(); equal stores have equal sums.
+    std::uint64_t fingerprint() const;
+
+    std::size_t tombstones() const;
+
     /// The latest version of an object, tombstones included; null if unknown.
     const wire::config_entry* find(const std::string& kind,
                                    const std::string& name) const;
@@ -69,10 +93,16 @@
 private:
     using key = std::pair<std::string, std::string>; // kind, name
 
+    apply_result apply_older(const key& at, const wire::config_entry& entry);
+    void put_in_force(const wire::config_entry& entry);
+
     std::map<key, wire::config_entry> entries_; ///< versions only grow
+    /// The last valid version of each object in refusals_, if one is known.
+    std::map<key, wire::config_entry> last_good_;
     std::map<key, refusal> refusals_;
     std::uint64_t through_ = 0; ///< only grows
     model::catalog catalog_;
+    mutable std::optional<std::uint64_t> fingerprint_; ///< empty: not known
 };
 
 } // namespace mimosacroft::fleet
--- a/include/mimosacroft/fleet/ownership.hpp
+++ b/include/mimosacroft/fleet/ownership.hpp
@@ -1,11 +1,12 @@
 // Which upstreams this VM may work on now. The sum of all owners' shares stays
 // within a server's limits while views differ:
 //
-// - A VM uses its share only while its view was confirmed (by the platform or
-//   by a peer of its data centre) within VIEW_TTL. A VM that was paused or cut
-//   off stops by itself when its view gets older.
-// - A VM that gains an upstream waits until no older view can be in use and the
-//   requests sent under it have ended.
+// - A VM uses its share only while its view was confirmed within VIEW_TTL
+//   (view_lease.hpp). A VM that was paused or cut off stops by itself when its
+//   view gets older.
+// - A VM that gains an upstream, or a larger share, first waits until the view
+//   is settled and then until no older confirmation can hold and the requests
+//   sent under it have ended. A smaller share holds at once.
 #ifndef MIMOSACROFT_FLEET_OWNERSHIP_HPP
 #define MIMOSACROFT_FLEET_OWNERSHIP_HPP
 
@@ -25,6 +26,8 @@
     /// From gaining an upstream to using it: view_ttl and the longest deadline
     /// of a request that the former owner may have sent.
     base::milliseconds handover_wait{3500};
+    /// See view_lease_options.
+    base::milliseconds orphan_wait{60'000};
 };
 
 class ownership
@@ -36,8 +39,17 @@
     void update(const view& current, const model::catalog& catalog,
                 base::instant now);
 
-    /// Notes that the view was current at `now`.
-    void confirm(base::instant now);
+    /// Notes that the view was current at `at`; an earlier instant than one
+    /// noted before changes nothing.
+    void confirm(base::instant at);
+
+    /// While the view is not settled, nothing that was gained is used; the
+    /// handover starts when it settles. A view counts as settled unless told
+    /// otherwise.
+    void set_settled(bool settled, base::instant now);
+
+    /// Forgets all confirmations: they were for an older view.
+    void expire() { ever_confirmed_ = false; }
 
     /// The share of each server of an upstream that may be used at `now`;
     /// zero if this VM is no owner, waits, or holds an unconfirmed view.
@@ -49,13 +61,19 @@
 private:
     struct owned
     {
-        share part;
-        base::instant since; ///< when this VM became an owner with this share
+        share held;          ///< in use before the latest gain; may be zero
+        share part;          ///< at least `held`
+        base::instant since; ///< when the handover to `part` started
     };
 
     std::string self_;
     ownership_options options_;
+    owned changed(const owned& before, const share& part,
+                  base::instant now) const;
+    share at(const owned& it, base::instant now) const;
+
     std::map<std::string, owned> owned_;
+    bool settled_ = true;
     base::instant confirmed_;
     bool ever_confirmed_ = false;
 };
--- a/include/mimosacroft/fleet/view.hpp
+++ b/include/mimosacroft/fleet/view.hpp
@@ -11,6 +11,7 @@
 #include "mimosacroft/wire/messages.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,19 @@
     /// The VMs of a data centre that are not leaving.
     std::vector<std::string> members_of(const std::string& data_centre) const;
 
+    /// All VMs of a data centre.
+    std::vector<std::string> all_of(const std::string& data_centre) const;
+
+    /// The position of a VM among the ones of its data centre that are not
+    /// leaving.
+    std::optional<std::size_t> rank_of(const std::string& vm) const;
+
+    std::vector<std::string> data_centres() const;
+
+    /// What changed since an older view; and this view with such a change.
+    wire::view_push changes_since(const view& older) const;
+    view changed_by(const wire::view_push& delta) const;
+
     /// The owners of an upstream: VMs of its data centre with the highest
     /// rendezvous weights, at most one for each slot and at most max_owners.
     std::vector<std::string> owners_of(const model::upstream& it) const;
@@ -46,6 +60,9 @@
     std::vector<wire::view_entry> entries_; ///< sorted by VM
 };
 
+/// VMs of each data centre that watch the platform for the others.
+inline constexpr std::size_t watchers_per_data_centre = 2;
+
 /// Owners of one upstream. Two keep a server in use when one of them is lost.
 inline constexpr std::size_t max_owners = 2;
 
--- /dev/null
+++ b/include/mimosacroft/fleet/watch_cursor.hpp
@@ -0,0 +1,57 @@
+// Where the watch of the platform's changes stands. The platform may answer
+// from a replica that lags, or come back older after an outage. The first is
+// ignored. For the second the watch starts again from the beginning, so that it
+// does not wait for versions that the older store will not reach for long;
+// what the VM holds stays in force, since objects are compared one by one.
+#ifndef MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
+#define MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
+
+#include <cstdint>
+
+namespace mimosacroft::fleet
+{
+
+enum class watch_answer
+{
+    current,
+    stale, ///< older than an earlier answer; not the first such one in a row
+    first_stale,
+    store_older ///< several stale answers in a row: the store itself is older
+};
+
+class watch_cursor
+{
+public:
+    /// The version after which changes are asked for.
+    std::uint64_t after() const { return after_; }
+
+    /// An answer that was older is asked for again at once.
+    bool in_doubt() const { return stale_ > 0; }
+
+    /// Takes the version of an answer to a call that asked after `asked`.
+    watch_answer take(std::uint64_t asked, std::uint64_t version)
+    {
+        if (version >= asked)
+        {
+            stale_ = 0;
+            after_ = version;
+            return watch_answer::current;
+        }
+        if (++stale_ < answers_until_older)
+            return stale_ == 1 ? watch_answer::first_stale
+                               : watch_answer::stale;
+        stale_ = 0;
+        after_ = 0;
+        return watch_answer::store_older;
+    }
+
+private:
+    static constexpr unsigned answers_until_older = 3;
+
+    std::uint64_t after_ = 0;
+    unsigned stale_ = 0; ///< stale answers in a row
+};
+
+} // namespace mimosacroft::fleet
+
+#endif
--- a/include/mimosacroft/wire/messages.hpp
+++ b/include/mimosacroft/wire/messages.hpp
@@ -17,7 +17,7 @@
 {
 
 /// Peers with another version refuse each other at the handshake.
-inline constexpr std::uint32_t protocol_version = 1;
+inline constexpr std::uint32_t protocol_version = 2;
 
 /// First message on a link, both ways.
 struct hello
@@ -145,12 +145,15 @@
     MSGPACK_DEFINE_ARRAY(kind, name, version, deleted, body)
 };
 
-/// Objects that the receiver may lack.
+/// Objects that the receiver may lack: all that changed after `from` and up to
+/// `through`. A receiver that does not hold everything up to `from` takes the
+/// objects but still lacks what lies before them.
 struct config_push
 {
-    std::uint64_t through = 0; ///< the sender holds everything up to here
+    std::uint64_t from = 0;
+    std::uint64_t through = 0;
     std::vector<config_entry> entries;
-    MSGPACK_DEFINE_ARRAY(through, entries)
+    MSGPACK_DEFINE_ARRAY(from, through, entries)
 };
 
 /// A server that takes no new work. Bars only this incarnation of it.
@@ -158,7 +161,15 @@
 {
     std::string server;
     std::string incarnation;
-    MSGPACK_DEFINE_ARRAY(server, incarnation)
+    std::uint32_t age_s = 0; ///< since it was first marked
+    MSGPACK_DEFINE_ARRAY(server, incarnation, age_s)
+};
+
+/// Servers that take no new work, sent as soon as a VM learns of them.
+struct leaving_push
+{
+    std::vector<leaving_mark> marks;
+    MSGPACK_DEFINE_ARRAY(marks)
 };
 
 /// What a VM knows about one member, for gossip.
@@ -168,20 +179,26 @@
     std::uint64_t incarnation = 0;
     std::uint64_t heartbeat = 0;      ///< grows while the process lives
     std::uint64_t config_version = 0; ///< in force at this VM
-    std::uint8_t state = 0;           ///< fleet::member_state
-    MSGPACK_DEFINE_ARRAY(vm, incarnation, heartbeat, config_version, state)
+    std::uint32_t age_s = 0;          ///< since the member said so itself
+    MSGPACK_DEFINE_ARRAY(vm, incarnation, heartbeat, config_version, age_s)
 };
 
-/// Periodic exchange between random peers.
+/// Periodic exchange between peers.
 struct digest
 {
     std::uint64_t sequence = 0; ///< answered by an ack with the same number
     bool ack = false;
+    std::string address; ///< of the sender, while it may be in no list
+    std::uint64_t heartbeat = 0;
     std::uint64_t config_version = 0;
+    std::uint64_t fingerprint = 0; ///< of the objects up to config_version
     std::uint64_t view_version = 0;
     std::vector<member_row> members;
+    std::vector<std::string> doubts; ///< members the sender cannot reach
+    std::uint64_t marks = 0;         ///< fingerprint of all leaving marks
     std::vector<leaving_mark> leaving;
-    MSGPACK_DEFINE_ARRAY(sequence, ack, config_version, view_version, members,
+    MSGPACK_DEFINE_ARRAY(sequence, ack, address, heartbeat, config_version,
+                         fingerprint, view_version, members, doubts, marks,
                          leaving)
 };
 
@@ -200,16 +217,43 @@
     }
 };
 
-/// The platform's list of entry VMs at a version, passed on between peers.
+/// The platform's list of entry VMs at a version, passed on between peers:
+/// whole, or as what changed since the version `base`.
 struct view_push
 {
     std::uint64_t version = 0;
-    std::vector<view_entry> entries;
-    MSGPACK_DEFINE_ARRAY(version, entries)
+    std::vector<view_entry> entries; ///< all, or new and changed ones
+    std::uint64_t base = 0;          ///< 0 for a whole list
+    std::vector<std::string> removed;
+    MSGPACK_DEFINE_ARRAY(version, entries, base, removed)
+};
+
+/// Asks a VM of the same data centre whether the sender's view is the newest.
+struct view_ask
+{
+    std::uint64_t sequence = 0; ///< repeated in the answer
+    std::uint64_t view_version = 0;
+    bool hold = false; ///< answer once there is a newer confirmation
+    MSGPACK_DEFINE_ARRAY(sequence, view_version, hold)
+};
+
+struct view_answer
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t view_version = 0;
+    bool counts = false;    ///< the sender may be counted in a quorum
+    bool confirmed = false; ///< the next two fields hold
+    /// When the view was known to be the newest, after the ask came (negative:
+    /// before).
+    std::int64_t offset_us = 0;
+    bool settled = false; ///< no older view can be in use in the data centre
+    MSGPACK_DEFINE_ARRAY(sequence, view_version, counts, confirmed, offset_us,
+                         settled)
 };
 
-using message = std::variant<hello, proof, forward, forward_answer, cancel,
-                             config_push, digest, view_push>;
+using message =
+    std::variant<hello, proof, forward, forward_answer, cancel, config_push,
+                 digest, view_push, leaving_push, view_ask, view_answer>;
 
 /// Packs a message without its frame header.
 std::string pack(const message& msg);
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -1,4 +1,4 @@
-// The fleet's side of one VM.
+// The fleet's side of one VM: the platform, the configuration and the views.
 #include "mimosacroft/fleet/agent.hpp"
 
 #include "mimosacroft/fleet/platform_codec.hpp"
@@ -11,54 +11,110 @@
 namespace
 {
 
-/// Peers that get a digest each period.
-constexpr std::size_t gossip_fanout = 3;
+/// Views that are kept to send peers only what changed.
+constexpr std::size_t max_older_views = 16;
+
+/// When a call is tried again that the budget did not allow.
+constexpr base::milliseconds budget_retry{250};
+
+constexpr auto watched_kinds = "search,upstream,index,rule";
+
+platform_options platform_options_of(const agent_options& it)
+{
+    platform_options out;
+    out.address = it.platform_address;
+    out.timeout = it.platform_timeout;
+    out.first_retry = it.platform_retry;
+    return out;
+}
+
+view_lease_options lease_options_of(const agent_options& it)
+{
+    view_lease_options out;
+    out.view_ttl = it.ownership.view_ttl;
+    out.orphan_wait = it.ownership.orphan_wait;
+    return out;
+}
+
+core::log_event event_of(core::event_id id, const wire::config_entry& entry)
+{
+    return {id,
+            {{"kind", entry.kind},
+             {"name", entry.name},
+             {"version", std::to_string(entry.version)}}};
+}
 
 } // namespace
 
 agent::agent(agent_options options, std::uint64_t seed)
     : options_(std::move(options)), random_(seed),
-      ownership_(options_.vm, options_.ownership)
+      lease_(options_.vm, options_.data_centre, lease_options_of(options_)),
+      ownership_(options_.vm, options_.ownership),
+      platform_(platform_options_of(options_), seed + 1)
 {
 }
 
 base::instant agent::next_wakeup() const
 {
-    return std::min({next_watch_, next_view_, next_gossip_});
+    if (!unsent_marks_.empty())
+        return {};
+    return std::min(
+        {next_watch_, next_view_, next_gossip_, lease_.next_wakeup()});
+}
+
+bool agent::watches(base::instant now) const
+{
+    const auto rank = view_.rank_of(options_.vm);
+    if (!rank || *rank < watchers_per_data_centre)
+        return true;
+    const auto since = lease_.ever_confirmed() ? lease_.confirmed() : started_;
+    return now - since > options_.watcher_silence;
 }
 
 void agent::on_tick(base::instant now, core::effects& out)
 {
+    if (started_ == base::never)
+        started_ = now;
+    latest_ = now;
     if (now >= next_watch_)
         call_platform(request_kind::watch, now, out);
     if (now >= next_view_)
         call_platform(request_kind::view, now, out);
+    std::vector<view_lease::outgoing> asks;
+    lease_.on_tick(now, asks);
+    send_lease(asks, out);
+    push_marks(out);
     if (now >= next_gossip_)
         gossip(now, out);
+    sync_ownership(now);
 }
 
 void agent::call_platform(request_kind kind, base::instant now,
                           core::effects& out)
 {
     const bool watch = kind == request_kind::watch;
-    core::http_call call;
-    call.owner = core::call_owner::fleet;
-    call.id = ++last_call_;
-    call.address = options_.platform_address;
-    call.deadline = now + options_.platform_timeout;
-    call.request.path = watch ? "/v1/changes" : "/v1/vms";
+    auto& next = watch ? next_watch_ : next_view_;
+    if (!watches(now))
+    {
+        next = now + options_.gossip_period;
+        return;
+    }
+    std::uint64_t id = 0;
     if (watch)
     {
-        call.deadline += options_.watch_wait;
-        call.request.query =
-            "after=" + std::to_string(store_.through()) +
-            "&wait_ms=" + std::to_string(options_.watch_wait.count());
-        next_watch_ = base::never;
+        const auto wait =
+            cursor_.in_doubt() ? base::milliseconds(0) : options_.watch_wait;
+        id = platform_.get("/v1/changes",
+                           "after=" + std::to_string(cursor_.after()) +
+                               "&wait_ms=" + std::to_string(wait.count()) +
+                               "&kinds=" + watched_kinds,
+                           wait, now, out);
     }
     else
-        next_view_ = base::never;
-    calls_[call.id] = kind;
-    out.emplace_back(std::move(call));
+        id = platform_.get("/v1/vms", "", base::milliseconds(0), now, out);
+    next = id == 0 ? now + budget_retry : base::never;
+    if (id != 0)
+        calls_[id] = {kind, now, cursor_.after()};
 }
 
 void agent::on_http_reply(std::uint64_t id,
@@ -68,160 +124,257 @@
     const auto it = calls_.find(id);
     if (it == calls_.end())
         return;
-    const auto kind = it->second;
+    const auto call = it->second;
     calls_.erase(it);
     const bool ok = reply && reply->status == 200;
-    note_platform(ok, now, out);
-    if (kind == request_kind::watch)
+    platform_.note_reply(ok, now, out);
+    const bool watch = call.kind == request_kind::watch;
+    if (ok && watch)
+        take_changes(call, reply->body, now, out);
+    else if (ok)
+        take_vms(call, reply->body, now, out);
+    if (watch)
+        next_watch_ = platform_.next_call(
+            cursor_.in_doubt() ? options_.platform_retry : base::duration{},
+            now);
+    else
+        next_view_ = platform_.next_call(options_.view_period, now);
+    sync_ownership(now);
+}
+
+void agent::take_changes(const open_call& call, const std::string& body,
+                         base::instant now, core::effects& out)
+{
+    const auto parsed = parse_changes(body);
+    if (!parsed)
     {
-        next_watch_ = ok ? now : now + options_.platform_retry;
-        if (ok)
-            take_objects(reply->body, now, out);
+        out.emplace_back(core::log_event{
+            core::event_id::platform_reply_refused,
+            {{"step", "receive"}, {"reason", parsed.error().text}}});
         return;
     }
-    next_view_ = now + options_.view_period;
-    if (!ok)
-        return;
-    auto parsed = parse_vms(reply->body);
-    if (!parsed)
-        return;
-    take_view(parsed->version, std::move(parsed->entries), now, out);
-    ownership_.confirm(now);
+    const bool first = store_.through() == 0;
+    wire::config_push news;
+    news.from = store_.last_change(store_.through());
+    for (const auto& entry : parsed->entries)
+        if (apply(entry, true, out))
+            news.entries.push_back(entry);
+    if (take_cursor(call, parsed->through, out))
+        store_.hold_through(parsed->through);
+    news.through = store_.through();
+    ownership_.update(view_, catalog(), now);
+    if (!first && !news.entries.empty())
+        push_config(news, out);
 }
 
-void agent::note_platform(bool ok, base::instant now, core::effects& out)
+// Whether the answer is complete up to its version.
+bool agent::take_cursor(const open_call& call, std::uint64_t version,
+                        core::effects& out)
 {
-    if (ok)
-        platform_heard_ = now;
-    if (ok == platform_ok_)
-        return;
-    platform_ok_ = ok;
-    out.emplace_back(core::log_event{
-        ok ? core::event_id::platform_back : core::event_id::platform_lost,
-        {{"platform", options_.platform_address}}});
+    const auto done = cursor_.take(call.after, version);
+    if (done == watch_answer::first_stale || done == watch_answer::store_older)
+        out.emplace_back(core::log_event{
+            done == watch_answer::first_stale ? core::event_id::platform_stale
+                                              : core::event_id::platform_older,
+            {{"version", std::to_string(version)},
+             {"seen", std::to_string(call.after)}}});
+    return done == watch_answer::current;
 }
 
-void agent::take_objects(const std::string& body, base::instant now,
-                         core::effects& out)
+void agent::take_vms(const open_call& call, const std::string& body,
+                     base::instant now, core::effects& out)
 {
-    const auto parsed = parse_changes(body);
-    if (parsed)
-        on_config(*parsed, now, out);
+    auto parsed = parse_vms(body);
+    if (!parsed)
+    {
+        out.emplace_back(core::log_event{
+            core::event_id::platform_reply_refused,
+            {{"step", "receive"}, {"reason", parsed.error().text}}});
+        return;
+    }
+    const auto version = parsed->version;
+    const bool older = version < view_.version();
+    if (older && !view_older_)
+        out.emplace_back(
+            core::log_event{core::event_id::view_older,
+                            {{"version", std::to_string(version)},
+                             {"in_use", std::to_string(view_.version())}}});
+    view_older_ = older;
+    if (version > view_.version())
+    {
+        take_view({version, std::move(parsed->entries)}, now, out);
+        push_view(out);
+    }
+    if (version != view_.version())
+        return;
+    std::vector<view_lease::outgoing> answers;
+    lease_.on_platform(call.asked, now, answers);
+    send_lease(answers, out);
 }
 
 void agent::on_config(const wire::config_push& msg, base::instant now,
-                      core::effects& out)
+                      core::effects& out, const std::string& from)
 {
+    const bool first = store_.through() == 0;
+    wire::config_push news;
+    news.from = msg.from;
     for (const auto& entry : msg.entries)
-        apply(entry, out);
-    store_.hold_through(msg.through);
+        if (apply(entry, false, out))
+            news.entries.push_back(entry);
+    const bool gap = msg.from > store_.through();
+    if (!gap)
+        store_.hold_through(msg.through);
+    else if (!from.empty())
+        // The sender answers a digest with what is missing.
+        send(from, make_digest(0, true, now), out);
+    news.through = store_.through();
     ownership_.update(view_, catalog(), now);
+    if (!first && !news.entries.empty() && is_foreign(from))
+    {
+        news.from = std::min(news.from, news.through);
+        push_config(news, out);
+    }
 }
 
-void agent::apply(const wire::config_entry& entry, core::effects& out)
+bool agent::apply(const wire::config_entry& entry, bool by_platform,
+                  core::effects& out)
 {
     const auto done = store_.apply(entry);
+    const auto* held = store_.find(entry.kind, entry.name);
     if (done == apply_result::older)
-        return;
-    core::log_event event{done == apply_result::applied
-                              ? core::event_id::config_applied
-                              : core::event_id::config_refused,
-                          {{"kind", entry.kind},
-                           {"name", entry.name},
-                           {"version", std::to_string(entry.version)}}};
+    {
+        if (!by_platform || held->version == entry.version)
+            return false;
+        auto event = event_of(core::event_id::object_older, entry);
+        event.fields.emplace_back("in_force", std::to_string(held->version));
+        out.emplace_back(std::move(event));
+        return false;
+    }
+    auto event =
+        event_of(done == apply_result::applied ? core::event_id::config_applied
+                                               : core::event_id::config_refused,
+                 entry);
     if (done == apply_result::refused)
         event.fields.emplace_back(
             "reason", store_.refusals().at({entry.kind, entry.name}).reason);
     out.emplace_back(std::move(event));
+    return true;
 }
 
 void agent::on_view(const wire::view_push& msg, base::instant now,
-                    core::effects& out)
+                    core::effects& out, const std::string& from)
 {
-    take_view(msg.version, msg.entries, now, out);
+    if (msg.version <= view_.version())
+        return;
+    if (msg.base != 0 && msg.base != view_.version())
+    {
+        // A digest with the version held gets what is missing.
+        if (!from.empty())
+            send(from, make_digest(0, true, now), out);
+        return;
+    }
+    take_view(msg.base == 0 ? fleet::view(msg.version, msg.entries)
+                            : view_.changed_by(msg),
+              now, out);
+    if (is_foreign(from))
+        push_view(out);
+    sync_ownership(now);
 }
 
-void agent::take_view(std::uint64_t version,
-                      std::vector<wire::view_entry> entries, base::instant now,
-                      core::effects& out)
+void agent::take_view(fleet::view next, base::instant now, core::effects& out)
 {
-    if (version <= view_.version())
-        return;
-    view_ = fleet::view(version, std::move(entries));
+    if (view_.version() > 0)
+        older_views_.push_back(std::move(view_));
+    if (older_views_.size() > max_older_views)
+        older_views_.pop_front();
+    view_ = std::move(next);
+    lease_.on_view(view_, now);
+    ownership_.expire();
+    ownership_.set_settled(false, now);
     ownership_.update(view_, catalog(), now);
+    members_.keep_only(view_);
     out.emplace_back(
         core::log_event{core::event_id::view_changed,
-                        {{"version", std::to_string(version)},
+                        {{"version", std::to_string(view_.version())},
                          {"vms", std::to_string(view_.entries().size())}}});
 }
 
-wire::digest agent::make_digest(std::uint64_t sequence, bool ack) const
+void agent::sync_ownership(base::instant now)
 {
-    wire::digest out;
-    out.sequence = sequence;
-    out.ack = ack;
-    out.config_version = store_.through();
-    out.view_version = view_.version();
-    for (const auto& [server, incarnation] : leaving_)
-        out.leaving.push_back({server, incarnation});
-    return out;
+    ownership_.set_settled(lease_.settled(), now);
+    if (lease_.ever_confirmed())
+        ownership_.confirm(lease_.confirmed());
 }
 
-void agent::gossip(base::instant now, core::effects& out)
+bool agent::is_foreign(const std::string& vm) const
 {
-    next_gossip_ = now + options_.gossip_period;
-    std::vector<std::string> others;
-    for (const auto& entry : view_.entries())
-        if (entry.vm != options_.vm)
-            others.push_back(entry.vm);
-    if (others.empty())
-        return;
-    std::ranges::shuffle(others, random_);
-    if (others.size() > gossip_fanout)
-        others.resize(gossip_fanout);
-    for (const auto& vm : others)
-        send(vm, make_digest(++sequence_, false), out);
+    const auto* entry = view_.find(vm);
+    return entry && entry->data_centre != options_.data_centre;
 }
 
-void agent::send(const std::string& vm, wire::message msg, core::effects& out)
+void agent::push_config(const wire::config_push& news, core::effects& out)
 {
-    if (const auto* entry = view_.find(vm))
-        out.emplace_back(
-            core::send_peer{vm, entry->peer_address, std::move(msg)});
+    auto targets = neighbours();
+    std::ranges::copy(one_of_each_other_data_centre(),
+                      std::back_inserter(targets));
+    for (const auto& part : split_push(news, max_push_bytes))
+        for (const auto& vm : targets)
+            send(vm, part, out);
 }
 
-void agent::on_digest(const std::string& from, std::uint64_t incarnation,
-                      const wire::digest& msg, base::instant now,
-                      core::effects& out)
+wire::view_push agent::view_for(std::uint64_t version) const
 {
-    peers_[from] = {incarnation, msg.config_version, now};
-    for (const auto& mark : msg.leaving)
-        mark_leaving(mark.server, mark.incarnation);
-    const auto* sender = view_.find(from);
-    if (sender && sender->data_centre == options_.data_centre &&
-        msg.view_version == view_.version())
-        ownership_.confirm(now);
-    if (!msg.ack)
-        send(from, make_digest(msg.sequence, true), out);
-    if (msg.config_version < store_.through())
-        send(from,
-             wire::config_push{store_.through(),
-                               store_.entries_after(msg.config_version)},
-             out);
-    if (msg.view_version < view_.version())
-        send(from, wire::view_push{view_.version(), view_.entries()}, out);
+    const auto older =
+        std::ranges::find(older_views_, version, &fleet::view::version);
+    if (older != older_views_.end())
+        return view_.changes_since(*older);
+    return {view_.version(), view_.entries(), 0, {}};
 }
 
-bool agent::is_leaving(const std::string& server,
-                       const std::string& incarnation) const
+void agent::push_view(core::effects& out)
 {
-    return leaving_.contains({server, incarnation});
+    const auto before =
+        older_views_.empty() ? 0 : older_views_.back().version();
+    const auto push = view_for(before);
+    for (const auto& vm : neighbours())
+        send(vm, push, out);
+}
+
+std::vector<std::string> agent::neighbours() const
+{
+    auto out = view_.all_of(options_.data_centre);
+    std::erase(out, options_.vm);
+    return out;
+}
+
+std::vector<std::string> agent::one_of_each_other_data_centre()
+{
+    std::vector<std::string> out;
+    for (const auto& data_centre : view_.data_centres())
+    {
+        const auto all = view_.members_of(data_centre);
+        if (data_centre != options_.data_centre && !all.empty())
+            out.push_back(all[random_() % all.size()]);
+    }
+    return out;
+}
+
+void agent::send(const std::string& vm, wire::message msg, core::effects& out)
+{
+    const auto* entry = view_.find(vm);
+    const auto stranger = strangers_.find(vm);
+    if (entry)
+        out.emplace_back(
+            core::send_peer{vm, entry->peer_address, std::move(msg)});
+    else if (stranger != strangers_.end())
+        out.emplace_back(core::send_peer{vm, stranger->second, std::move(msg)});
 }
 
-void agent::mark_leaving(const std::string& server,
-                         const std::string& incarnation)
+void agent::send_lease(std::vector<view_lease::outgoing>& all,
+                       core::effects& out)
 {
-    leaving_.emplace(server, incarnation);
+    for (auto& [vm, msg] : all)
+        send(vm, std::move(msg), out);
 }
 
 } // namespace mimosacroft::fleet
--- /dev/null
+++ b/lib/fleet/agent_gossip.cpp
@@ -0,0 +1,244 @@
+// The fleet's side of one VM: the exchange with peers.
+#include "mimosacroft/fleet/agent.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace mimosacroft::fleet
+{
+
+namespace
+{
+
+/// Rows about members in one digest.
+constexpr std::size_t max_rows = 4;
+
+/// VMs in one digest that the sender cannot reach.
+constexpr std::size_t max_doubts = 3;
+
+/// Marks that are younger than this travel with every digest.
+constexpr base::seconds recent_marks{5};
+constexpr std::size_t max_recent_marks = 16;
+
+/// Pause between two full exchanges with peers whose objects differ.
+constexpr base::seconds repair_pause{10};
+
+/// VMs outside the list that are remembered.
+constexpr std::size_t max_strangers = 64;
+
+core::log_event leaving_event(const wire::leaving_mark& mark,
+                              const std::string& peer)
+{
+    return {core::event_id::server_leaving,
+            {{"server", mark.server},
+             {"incarnation", mark.incarnation},
+             {"peer", peer}}};
+}
+
+} // namespace
+
+bool agent::on_message(const std::string& from, std::uint64_t incarnation,
+                       const wire::message& msg, base::instant now,
+                       core::effects& out)
+{
+    latest_ = now;
+    std::vector<view_lease::outgoing> answers;
+    if (const auto* d = std::get_if<wire::digest>(&msg))
+        on_digest(from, incarnation, *d, now, out);
+    else if (const auto* c = std::get_if<wire::config_push>(&msg))
+        on_config(*c, now, out, from);
+    else if (const auto* v = std::get_if<wire::view_push>(&msg))
+        on_view(*v, now, out, from);
+    else if (const auto* l = std::get_if<wire::leaving_push>(&msg))
+        take_marks(l->marks, from, now, out);
+    else if (const auto* q = std::get_if<wire::view_ask>(&msg))
+    {
+        if (q->view_version < view_.version())
+            send(from, view_for(q->view_version), out);
+        lease_.on_ask(from, *q, now, answers);
+    }
+    else if (const auto* a = std::get_if<wire::view_answer>(&msg))
+        lease_.on_answer(from, *a, now, answers);
+    else
+        return false;
+    send_lease(answers, out);
+    sync_ownership(now);
+    return true;
+}
+
+void agent::gossip(base::instant now, core::effects& out)
+{
+    next_gossip_ = now + options_.gossip_period;
+    ++heartbeat_;
+    leaving_.expire(now);
+    members_.on_tick(now);
+    if (view_.version() == 0)
+        for (const auto& seed : options_.seeds)
+            strangers_[seed.vm] = seed.peer_address;
+    for (const auto& vm : gossip_targets())
+        probe(vm, now, out);
+}
+
+// One VM of the own data centre and one of another one.
+std::vector<std::string> agent::gossip_targets()
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto& all = view_.version() == 0 ? options_.seeds : view_.entries();
+    for (const auto& it : all)
+        if (it.vm != options_.vm)
+            (it.data_centre == options_.data_centre ? near : far)
+                .push_back(it.vm);
+    std::vector<std::string> out;
+    for (const auto* some : {&near, &far})
+        if (!some->empty())
+            out.push_back((*some)[random_() % some->size()]);
+    return out;
+}
+
+void agent::probe(const std::string& vm, base::instant now, core::effects& out)
+{
+    const auto sequence = ++sequence_;
+    members_.on_probe_sent(vm, sequence, now);
+    send(vm, make_digest(sequence, false, now), out);
+}
+
+wire::digest agent::make_digest(std::uint64_t sequence, bool ack,
+                                base::instant now) const
+{
+    wire::digest out;
+    out.sequence = sequence;
+    out.ack = ack;
+    if (!view_.find(options_.vm))
+        out.address = options_.peer_address;
+    out.heartbeat = heartbeat_;
+    out.config_version = store_.through();
+    out.fingerprint = store_.fingerprint();
+    out.view_version = view_.version();
+    out.members = members_.newest_rows(max_rows, now);
+    out.doubts = members_.doubted();
+    if (out.doubts.size() > max_doubts)
+        out.doubts.resize(max_doubts);
+    out.marks = leaving_.fingerprint();
+    out.leaving = leaving_.marks(recent_marks, now);
+    if (out.leaving.size() > max_recent_marks)
+        out.leaving.resize(max_recent_marks);
+    return out;
+}
+
+void agent::on_digest(const std::string& from, std::uint64_t incarnation,
+                      const wire::digest& msg, base::instant now,
+                      core::effects& out)
+{
+    if (!msg.address.empty() && strangers_.size() < max_strangers)
+        strangers_[from] = msg.address;
+    members_.on_direct(from,
+                       {incarnation, msg.config_version, now, msg.heartbeat});
+    if (msg.ack)
+        members_.on_probe_answered(from, msg.sequence);
+    for (const auto& row : msg.members)
+        if (row.vm != options_.vm && view_.find(row.vm))
+            members_.on_row(row, now);
+    take_marks(msg.leaving, from, now, out);
+    if (!msg.ack)
+        answer_digest(from, msg, now, out);
+    mend_peer(from, msg, now, out);
+}
+
+void agent::answer_digest(const std::string& from, const wire::digest& msg,
+                          base::instant now, core::effects& out)
+{
+    auto answer = make_digest(msg.sequence, true, now);
+    for (const auto& vm : msg.doubts)
+    {
+        if (vm == options_.vm || !view_.find(vm))
+            continue;
+        if (members_.find(vm))
+            answer.members.push_back(members_.row_of(vm, now));
+        // The next digest that doubts this VM finds a fresh row.
+        probe(vm, now, out);
+    }
+    send(from, std::move(answer), out);
+}
+
+// Sends a peer what it lacks.
+void agent::mend_peer(const std::string& from, const wire::digest& msg,
+                      base::instant now, core::effects& out)
+{
+    // A VM without any configuration asks one peer at a time for it.
+    const bool asks = !msg.ack || msg.config_version > 0;
+    const auto through = store_.through();
+    const auto push_after = [&](std::uint64_t version)
+    {
+        for (auto& part : store_.pushes_after(version, max_push_bytes))
+            send(from, std::move(part), out);
+    };
+    if (asks && msg.config_version < through)
+        push_after(msg.config_version);
+    if (msg.config_version == through && through > 0 &&
+        msg.fingerprint != store_.fingerprint() && now >= next_repair_)
+    {
+        next_repair_ = now + repair_pause;
+        out.emplace_back(core::log_event{
+            core::event_id::config_repaired,
+            {{"peer", from}, {"version", std::to_string(through)}}});
+        push_after(0);
+    }
+    if (msg.view_version < view_.version())
+        send(from, view_for(msg.view_version), out);
+    if (msg.marks != leaving_.fingerprint() && leaving_.size() > 0 &&
+        (!msg.ack || msg.marks != 0))
+        send(from,
+             wire::leaving_push{leaving_.marks(leaving_set::retention, now)},
+             out);
+}
+
+bool agent::is_leaving(const std::string& server,
+                       const std::string& incarnation) const
+{
+    return leaving_.contains(server, incarnation);
+}
+
+bool agent::is_leaving(const std::string& server) const
+{
+    return leaving_.bars(server);
+}
+
+void agent::note_incarnation(const std::string& server,
+                             const std::string& incarnation)
+{
+    leaving_.note_incarnation(server, incarnation);
+}
+
+void agent::mark_leaving(const std::string& server,
+                         const std::string& incarnation)
+{
+    leaving_.note_incarnation(server, incarnation);
+    if (leaving_.add({server, incarnation, 0}, latest_))
+        unsent_marks_.push_back({server, incarnation, 0});
+}
+
+void agent::push_marks(core::effects& out)
+{
+    if (unsent_marks_.empty())
+        return;
+    const auto marks = std::exchange(unsent_marks_, {});
+    for (const auto& it : marks)
+        out.emplace_back(leaving_event(it, it.server));
+    auto targets = neighbours();
+    std::ranges::copy(one_of_each_other_data_centre(),
+                      std::back_inserter(targets));
+    for (const auto& vm : targets)
+        send(vm, wire::leaving_push{marks}, out);
+}
+
+void agent::take_marks(const std::vector<wire::leaving_mark>& marks,
+                       const std::string& from, base::instant now,
+                       core::effects& out)
+{
+    for (const auto& it : marks)
+        if (leaving_.add(it, now))
+            out.emplace_back(leaving_event(it, from));
+}
+
+} // namespace mimosacroft::fleet
--- a/lib/fleet/ownership.cpp
+++ b/lib/fleet/ownership.cpp
@@ -22,20 +22,50 @@
             continue;
         const share part = share_of(upstream, owners.size());
         const auto before = owned_.find(name);
-        const bool grows = before == owned_.end() ||
-                           before->second.part.slots < part.slots ||
-                           before->second.part.connections < part.connections;
-        next[name] = {part, grows ? now : before->second.since};
+        if (before == owned_.end())
+            next[name] = {{}, part, now};
+        else
+            next[name] = changed(before->second, part, now);
     }
     owned_ = std::move(next);
 }
 
-void ownership::confirm(base::instant now)
+// A share that shrinks in one limit holds the smaller one at once.
+ownership::owned ownership::changed(const owned& before, const share& part,
+                                    base::instant now) const
 {
-    confirmed_ = now;
+    const share used = at(before, now);
+    const share held{std::min(used.slots, part.slots),
+                     std::min(used.connections, part.connections)};
+    const bool grows = before.part.slots < part.slots ||
+                       before.part.connections < part.connections;
+    return {held, part, grows ? now : before.since};
+}
+
+void ownership::confirm(base::instant at)
+{
+    confirmed_ = ever_confirmed_ ? std::max(confirmed_, at) : at;
     ever_confirmed_ = true;
 }
 
+void ownership::set_settled(bool settled, base::instant now)
+{
+    if (settled && !settled_)
+        for (auto& [name, it] : owned_)
+            it.since = std::max(it.since, now);
+    if (!settled && settled_)
+        for (auto& [name, it] : owned_)
+            it.held = at(it, now);
+    settled_ = settled;
+}
+
+share ownership::at(const owned& it, base::instant now) const
+{
+    const bool handed_over =
+        settled_ && now - it.since >= options_.handover_wait;
+    return handed_over ? it.part : it.held;
+}
+
 share ownership::usable(const std::string& upstream, base::instant now) const
 {
     const auto it = owned_.find(upstream);
@@ -43,9 +73,7 @@
         return {};
     if (now - confirmed_ > options_.view_ttl)
         return {};
-    if (now - it->second.since < options_.handover_wait)
-        return {};
-    return it->second.part;
+    return at(it->second, now);
 }
 
 bool ownership::owns(const std::string& upstream) const
--- a/lib/fleet/view.cpp
+++ b/lib/fleet/view.cpp
@@ -1,7 +1,11 @@
 // The list of entry VMs and the owners of upstreams.
 #include "mimosacroft/fleet/view.hpp"
 
+#include "mimosacroft/base/stable_hash.hpp"
+
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace mimosacroft::fleet
 {
@@ -9,23 +13,9 @@
 namespace
 {
 
-// FNV-1a with a final mix: every VM must compute the same weights, which the
-// standard library's hash does not promise.
 std::uint64_t weight_of(const std::string& upstream, const std::string& vm)
 {
-    std::uint64_t hash = 14695981039346656037ULL;
-    const auto add = [&hash](char c)
-    {
-        hash ^= static_cast<unsigned char>(c);
-        hash *= 1099511628211ULL;
-    };
-    std::ranges::for_each(upstream, add);
-    add('\0');
-    std::ranges::for_each(vm, add);
-    hash ^= hash >> 33;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33;
-    return hash;
+    return base::stable_hash({upstream, vm});
 }
 
 } // namespace
@@ -52,6 +42,65 @@
     return out;
 }
 
+std::vector<std::string> view::all_of(const std::string& data_centre) const
+{
+    std::vector<std::string> out;
+    for (const auto& entry : entries_)
+        if (entry.data_centre == data_centre)
+            out.push_back(entry.vm);
+    return out;
+}
+
+std::optional<std::size_t> view::rank_of(const std::string& vm) const
+{
+    const auto* entry = find(vm);
+    if (!entry || entry->leaving)
+        return std::nullopt;
+    const auto members = members_of(entry->data_centre);
+    return std::ranges::find(members, vm) - members.begin();
+}
+
+std::vector<std::string> view::data_centres() const
+{
+    std::set<std::string> out;
+    for (const auto& entry : entries_)
+        out.insert(entry.data_centre);
+    return {out.begin(), out.end()};
+}
+
+wire::view_push view::changes_since(const view& older) const
+{
+    wire::view_push out;
+    out.version = version_;
+    out.base = older.version();
+    for (const auto& entry : entries_)
+    {
+        const auto* before = older.find(entry.vm);
+        if (!before || !(*before == entry))
+            out.entries.push_back(entry);
+    }
+    for (const auto& entry : older.entries())
+        if (!find(entry.vm))
+            out.removed.push_back(entry.vm);
+    return out;
+}
+
+view view::changed_by(const wire::view_push& delta) const
+{
+    const std::set<std::string> removed(delta.removed.begin(),
+                                        delta.removed.end());
+    std::map<std::string, wire::view_entry> all;
+    for (const auto& entry : entries_)
+        if (!removed.contains(entry.vm))
+            all[entry.vm] = entry;
+    for (const auto& entry : delta.entries)
+        all[entry.vm] = entry;
+    std::vector<wire::view_entry> entries;
+    for (const auto& [vm, entry] : all)
+        entries.push_back(entry);
+    return {delta.version, std::move(entries)};
+}
+
 std::vector<std::string> view::owners_of(const model::upstream& it) const
 {
     auto out = members_of(it.data_centre);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -40,12 +40,8 @@
         scatter_.on_answer(from, *a, now, out);
     else if (const auto* c = std::get_if<wire::cancel>(&msg))
         on_cancel(from, *c, now, out);
-    else if (const auto* d = std::get_if<wire::digest>(&msg))
-        fleet_.on_digest(from, incarnation, *d, now, out);
-    else if (const auto* p = std::get_if<wire::config_push>(&msg))
-        fleet_.on_config(*p, now, out);
-    else if (const auto* v = std::get_if<wire::view_push>(&msg))
-        fleet_.on_view(*v, now, out);
+    else
+        fleet_.on_message(from, incarnation, msg, now, out);
     settle(now, out);
 }
 
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -12,6 +12,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <future>
+#include <regex>
+#include <sstream>
 #include <thread>
 
 namespace
@@ -42,6 +44,9 @@
          .kind = setting_kind::address,
          .help = "address of the platform's object API",
          .required = true},
+        {.name = "seeds",
+         .help = "VMs to ask while the platform is away: "
+                 "id,data-centre,peer-address;..."},
         {.name = "peer-secret",
          .help = "secret shared by the fleet",
          .required = true,
@@ -123,6 +128,24 @@
     return daemon::refusal(404, "nothing is at the path " + path);
 }
 
+// Rows "id,data-centre,address" with ";" between; throws on another form.
+std::vector<wire::view_entry> seeds_of(const std::string& text)
+{
+    static const std::regex form(R"(([^,;]+),([^,;]+),([^,;]+:\d+))");
+    std::vector<wire::view_entry> out;
+    std::istringstream rows(text);
+    for (std::string row; std::getline(rows, row, ';');)
+    {
+        std::smatch parts;
+        if (!std::regex_match(row, parts, form))
+            throw std::runtime_error("setting seeds: \"" + row +
+                                     "\" is not of the form "
+                                     "id,data-centre,ip:port");
+        out.push_back({parts[1], parts[2], parts[3], false});
+    }
+    return out;
+}
+
 fleet::agent_options agent_options_of(const daemon::settings& s,
                                       std::uint64_t incarnation)
 {
@@ -131,6 +154,8 @@
     out.data_centre = s.text("data-centre");
     out.incarnation = incarnation;
     out.platform_address = s.text("platform-address");
+    out.peer_address = s.text("peer-address");
+    out.seeds = seeds_of(s.text("seeds"));
     out.ownership.view_ttl = base::milliseconds(s.number("view-ttl-ms"));
     out.ownership.handover_wait =
         base::milliseconds(s.number("handover-wait-ms"));
--- a/unittests/query/query_fixture.hpp
+++ b/unittests/query/query_fixture.hpp
@@ -41,6 +41,7 @@
     out.incarnation = 42;
     out.platform_address = "127.0.0.1:1";
     out.ownership.handover_wait = base::milliseconds(0);
+    out.ownership.orphan_wait = base::milliseconds(0);
     out.ownership.view_ttl = base::seconds(3600);
     return out;
 }
