Claim idempotency keys in the platform before a request runs

Cause: a request with an idempotency key just ran; a re-send through another entry VM ran it again. Change: query::claims, a state machine over the platform's conditional writes: a create that only one can win, a nonce that is read back when the answer was lost, the answer recorded in the claim, the claim removed when the request provably did not run. The root claims first and runs after. The watch of the configuration asks for its own kinds only, so that claims do not spread (one line in lib/fleet/agent.cpp); the caller's rule and the wall clock reach the core in lib/daemon/caller_api.cpp. Ruled out: leases, a home VM by hashing, keys kept by VMs (docs/design/at-most-once.md). Not done: removal of old claims is designed only.

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -20,6 +20,9 @@
     // 200 to 299: queries at their root.
     query_finished = 200,
     answer_dropped = 201,
+    claim_unclear = 210,
+    claim_not_recorded = 211,
+    claim_refused = 212,
     // 300 to 399: work on upstreams.
     upstream_failed = 300,
     upstream_answer_refused = 301,
@@ -57,6 +60,9 @@
     {event_id::setting_refused, severity::error, "setting_refused"},
     {event_id::query_finished, severity::info, "query_finished"},
     {event_id::answer_dropped, severity::warning, "answer_dropped"},
+    {event_id::claim_unclear, severity::warning, "claim_unclear"},
+    {event_id::claim_not_recorded, severity::warning, "claim_not_recorded"},
+    {event_id::claim_refused, severity::warning, "claim_refused"},
     {event_id::upstream_failed, severity::warning, "upstream_failed"},
     {event_id::upstream_answer_refused, severity::warning,
      "upstream_answer_refused"},
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -70,6 +70,7 @@
 
     fleet::agent fleet_;
     query::scatter scatter_;
+    query::claims claims_;
     query::root root_;
     query::leaf leaf_;
     std::map<std::uint64_t, relayed> relayed_; ///< by scatter job
--- a/include/mimosacroft/query/root.hpp
+++ b/include/mimosacroft/query/root.hpp
@@ -3,10 +3,12 @@
 #ifndef MIMOSACROFT_QUERY_ROOT_HPP
 #define MIMOSACROFT_QUERY_ROOT_HPP
 
+#include "mimosacroft/query/claims.hpp"
 #include "mimosacroft/query/scatter.hpp"
 #include "mimosacroft/query/search.hpp"
 
 #include <map>
+#include <optional>
 
 namespace mimosacroft::query
 {
@@ -14,7 +16,8 @@
 class root
 {
 public:
-    root(const fleet::agent& fleet, query::scatter& scatter);
+    root(const fleet::agent& fleet, query::scatter& scatter,
+         query::claims& claims);
 
     /// Admits a request. Its answer comes by take_answers().
     void start(search_request request, base::instant now, core::effects& out);
@@ -23,29 +26,68 @@
     bool on_scattered(scatter_result& result, base::instant now,
                       core::effects& out);
 
+    /// Takes the decision on the idempotency key of a request.
+    void on_claim(claim_decision& decision, base::instant now,
+                  core::effects& out);
+    /// Nothing more is tried for a claim.
+    void on_claim_closed(std::uint64_t claim);
+
+    void on_tick(base::instant now);
+    base::instant next_wakeup() const;
+
     /// Queries without an answer yet.
-    std::size_t open() const { return open_.size(); }
+    std::size_t open() const
+    {
+        return open_.size() + claiming_.size() + releasing_.size();
+    }
 
     std::vector<search_answer> take_answers();
 
 private:
-    struct open_query
+    /// A request that passed the checks.
+    struct admitted
     {
         search_request request;
+        base::instant started;
+        base::instant deadline;
+        std::uint64_t claim = 0; ///< 0 without an idempotency key
+    };
+
+    struct open_query
+    {
+        root::admitted admitted;
         search_answer answer; ///< filled as far as known
         std::vector<wire::shard_task> tasks;
-        base::instant started;
     };
 
+    /// An answer that waits until its claim is removed, so that a re-send of
+    /// the caller finds no claim in its way.
+    struct held_answer
+    {
+        search_answer answer;
+        base::instant deadline;
+    };
+
+    std::optional<std::string> problem_of(const search_request& request) const;
     void reject(const search_request& request, std::string why);
+    void run(admitted query, base::instant now, core::effects& out);
+    void claim(admitted query, base::instant now, core::effects& out);
+    search_answer blank_answer(const admitted& query) const;
+    void finish(const admitted& query, search_answer answer, base::instant now,
+                core::effects& out);
+    void close_claim(const admitted& query, search_answer answer,
+                     base::instant now, core::effects& out);
     std::vector<wire::shard_task> tasks_of(const model::search& search,
                                            const model::index& index,
                                            const search_request& request) const;
 
     const fleet::agent& fleet_;
     query::scatter& scatter_;
+    query::claims& claims_;
     std::uint64_t last_query_ = 0;
-    std::map<std::uint64_t, open_query> open_; ///< by scatter job
+    std::map<std::uint64_t, open_query> open_;       ///< by scatter job
+    std::map<std::uint64_t, admitted> claiming_;     ///< by claim
+    std::map<std::uint64_t, held_answer> releasing_; ///< by claim
     std::vector<search_answer> answers_;
 };
 
--- a/include/mimosacroft/query/search.hpp
+++ b/include/mimosacroft/query/search.hpp
@@ -26,6 +26,8 @@
     std::string idempotency_key;          ///< empty if none
     std::string routing_key;              ///< selects the shard in scope one
     std::string trace;                    ///< W3C trace id
+    std::string caller;                   ///< name of the caller's rule
+    std::int64_t received_s = 0;          ///< wall clock, since 1970
 };
 
 struct included_shard
--- a/lib/daemon/caller_api.cpp
+++ b/lib/daemon/caller_api.cpp
@@ -5,6 +5,7 @@
 #include "mimosacroft/daemon/event_log.hpp"
 #include "mimosacroft/model/object_reader.hpp"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 namespace mimosacroft::daemon
@@ -46,6 +47,12 @@
     return base::to_hex(base::random_bytes(trace_id_bytes));
 }
 
+std::int64_t seconds_since_1970()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<base::seconds>(now).count();
+}
+
 wire::http_reply refuse(runtime& rt, unsigned status, const std::string& why)
 {
     rt.metrics().add("mimosa_callers_refused_total");
@@ -187,6 +194,8 @@
     parsed->search = name;
     parsed->priority = rule->priority;
     parsed->trace = trace_id(request);
+    parsed->caller = rule->name;
+    parsed->received_s = seconds_since_1970();
     const auto answer = rt.search(std::move(*parsed));
     wire::http_reply out;
     out.status = status_of(answer);
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -52,7 +52,8 @@
         call.deadline += options_.watch_wait;
         call.request.query =
             "after=" + std::to_string(store_.through()) +
-            "&wait_ms=" + std::to_string(options_.watch_wait.count());
+            "&wait_ms=" + std::to_string(options_.watch_wait.count()) +
+            "&kinds=search,upstream,index,rule";
         next_watch_ = base::never;
     }
     else
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -7,9 +7,24 @@
 namespace mimosacroft::node
 {
 
+namespace
+{
+
+query::claims_options claims_of(const fleet::agent_options& fleet)
+{
+    query::claims_options out;
+    out.vm = fleet.vm;
+    out.incarnation = fleet.incarnation;
+    out.platform_address = fleet.platform_address;
+    return out;
+}
+
+} // namespace
+
 node::node(fleet::agent_options options, std::uint64_t seed)
     : fleet_(std::move(options), seed), scatter_(fleet_, seed + 1),
-      root_(fleet_, scatter_), leaf_(fleet_)
+      claims_(claims_of(fleet_.options()), seed + 2),
+      root_(fleet_, scatter_, claims_), leaf_(fleet_)
 {
 }
 
@@ -125,6 +140,8 @@
         leaf_.on_http_reply(id, reply, now, out);
     else if (owner == core::call_owner::fleet)
         fleet_.on_http_reply(id, reply, now, out);
+    else if (owner == core::call_owner::claims)
+        claims_.on_http_reply(id, reply, now, out);
     settle(now, out);
 }
 
@@ -133,13 +150,16 @@
     fleet_.on_tick(now, out);
     leaf_.on_tick(now, out);
     scatter_.on_tick(now, out);
+    claims_.on_tick(now, out);
+    root_.on_tick(now);
     settle(now, out);
 }
 
 base::instant node::next_wakeup() const
 {
-    return std::min(
-        {fleet_.next_wakeup(), leaf_.next_wakeup(), scatter_.next_wakeup()});
+    return std::min({fleet_.next_wakeup(), leaf_.next_wakeup(),
+                     scatter_.next_wakeup(), claims_.next_wakeup(),
+                     root_.next_wakeup()});
 }
 
 void node::begin_drain(base::instant, core::effects&)
@@ -149,7 +169,8 @@
 
 bool node::idle() const
 {
-    return root_.open() == 0 && leaf_.open() == 0 && relayed_.empty();
+    return root_.open() == 0 && leaf_.open() == 0 && relayed_.empty() &&
+           claims_.open() == 0;
 }
 
 std::vector<query::search_answer> node::take_answers()
@@ -176,6 +197,13 @@
 bool node::settle_once(base::instant now, core::effects& out)
 {
     bool moved = false;
+    for (auto& decision : claims_.take_decisions())
+    {
+        root_.on_claim(decision, now, out);
+        moved = true;
+    }
+    for (const auto claim : claims_.take_closed())
+        root_.on_claim_closed(claim);
     for (auto& answer : leaf_.take_answers())
     {
         send(answer.to, std::move(answer.msg), out);
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-root::root(const fleet::agent& fleet, query::scatter& scatter)
-    : fleet_(fleet), scatter_(scatter)
+root::root(const fleet::agent& fleet, query::scatter& scatter,
+           query::claims& claims)
+    : fleet_(fleet), scatter_(scatter), claims_(claims)
 {
 }
 
@@ -66,30 +67,115 @@
     return out;
 }
 
-void root::start(search_request request, base::instant now, core::effects& out)
+std::optional<std::string> root::problem_of(const search_request& request) const
 {
     const auto* search = fleet_.catalog().find_search(request.search);
     if (!search)
-        return reject(request, "no search has the name " + request.search);
+        return "no search has the name " + request.search;
     const auto* index = fleet_.catalog().find_index(search->index);
     if (!index)
-        return reject(request, "no index has the name " + search->index);
+        return "no index has the name " + search->index;
     const base::milliseconds most(search->max_deadline_ms);
     const auto deadline = request.deadline.value_or(
         base::milliseconds(search->default_deadline_ms));
     if (deadline <= base::milliseconds(0) || deadline > most)
-        return reject(request,
-                      "deadline_ms: found " + std::to_string(deadline.count()) +
-                          ", allowed is 1 to " + std::to_string(most.count()));
+        return "deadline_ms: found " + std::to_string(deadline.count()) +
+               ", allowed is 1 to " + std::to_string(most.count());
     if (search->scope == model::scope::one && request.routing_key.empty())
-        return reject(request, "routing_key is missing; the search " +
-                                   search->name + " goes to one shard");
+        return "routing_key is missing; the search " + search->name +
+               " goes to one shard";
+    return std::nullopt;
+}
+
+void root::start(search_request request, base::instant now, core::effects& out)
+{
+    if (auto problem = problem_of(request))
+        return reject(request, std::move(*problem));
+    const auto* search = fleet_.catalog().find_search(request.search);
+    const base::milliseconds most(search->default_deadline_ms);
+    admitted query;
+    query.started = now;
+    query.deadline = now + request.deadline.value_or(most);
+    query.request = std::move(request);
+    if (query.request.idempotency_key.empty())
+        run(std::move(query), now, out);
+    else
+        claim(std::move(query), now, out);
+}
+
+void root::claim(admitted query, base::instant now, core::effects& out)
+{
+    claim_request wanted;
+    wanted.name = claim_name(query.request);
+    wanted.fingerprint = claim_fingerprint(query.request);
+    wanted.created_s = query.request.received_s;
+    wanted.deadline = query.deadline;
+    query.claim = claims_.acquire(std::move(wanted), now, out);
+    claiming_.emplace(query.claim, std::move(query));
+}
+
+void root::on_claim(claim_decision& decision, base::instant now,
+                    core::effects& out)
+{
+    auto taken = claiming_.extract(decision.id);
+    if (taken.empty())
+        return;
+    auto& query = taken.mapped();
+    if (decision.verdict == claim_verdict::won)
+        return run(std::move(query), now, out);
+    auto answer = blank_answer(query);
+    answer.error = std::move(decision.why);
+    switch (decision.verdict)
+    {
+    case claim_verdict::replay:
+        answer = std::move(*decision.answer);
+        answer.ticket = query.request.ticket;
+        answer.search = query.request.search;
+        answer.trace = query.request.trace;
+        answer.replayed = true;
+        break;
+    case claim_verdict::unknown:
+        answer.outcome = model::outcome::unknown;
+        break;
+    case claim_verdict::not_run:
+        answer.outcome = model::outcome::not_run;
+        break;
+    case claim_verdict::mismatch:
+    case claim_verdict::expired:
+    case claim_verdict::won:
+        answer.outcome = model::outcome::rejected;
+        break;
+    }
+    if (!answer.replayed)
+        out.emplace_back(core::log_event{
+            core::event_id::claim_refused,
+            {{"search", answer.search},
+             {"verdict", std::string(base::name_of(decision.verdict))},
+             {"trace", answer.trace}}});
+    query.claim = 0;
+    finish(query, std::move(answer), now, out);
+}
+
+// Pins the epoch that is in force and sends the shards out.
+void root::run(admitted query, base::instant now, core::effects& out)
+{
+    const auto& request = query.request;
+    const auto problem =
+        now >= query.deadline
+            ? std::optional<std::string>("the deadline passed before the start")
+            : problem_of(request);
+    if (problem)
+    {
+        auto answer = blank_answer(query);
+        answer.outcome = model::outcome::not_run;
+        answer.error = *problem;
+        return finish(query, std::move(answer), now, out);
+    }
+    const auto* search = fleet_.catalog().find_search(request.search);
+    const auto* index = fleet_.catalog().find_index(search->index);
 
     open_query made;
-    made.started = now;
-    made.answer.ticket = request.ticket;
-    made.answer.search = request.search;
-    made.answer.trace = request.trace;
+    made.answer = blank_answer(query);
     made.answer.epoch = index->epoch;
     made.answer.least_coverage =
         request.least_coverage.value_or(search->least_coverage);
@@ -97,7 +183,7 @@
 
     scatter_job job;
     job.tasks = made.tasks;
-    job.deadline = now + deadline;
+    job.deadline = query.deadline;
     job.request.query = {fleet_.options().incarnation, ++last_query_};
     job.request.search = request.search;
     job.request.epoch = index->epoch;
@@ -106,18 +192,27 @@
     job.request.hops_left = max_hops;
     job.request.trace = request.trace;
     job.request.body = request.body;
-    made.request = std::move(request);
+    made.admitted = std::move(query);
     const auto id = scatter_.start(std::move(job), now, out);
     open_.emplace(id, std::move(made));
 }
 
+search_answer root::blank_answer(const admitted& query) const
+{
+    search_answer out;
+    out.ticket = query.request.ticket;
+    out.search = query.request.search;
+    out.trace = query.request.trace;
+    return out;
+}
+
 bool root::on_scattered(scatter_result& result, base::instant now,
                         core::effects& out)
 {
-    const auto it = open_.find(result.job);
-    if (it == open_.end())
+    auto taken = open_.extract(result.job);
+    if (taken.empty())
         return false;
-    auto& query = it->second;
+    auto& query = taken.mapped();
     auto& answer = query.answer;
     for (std::size_t n = 0; n < result.reports.size(); ++n)
     {
@@ -134,13 +229,20 @@
                  report.maybe_run});
     }
     answer.outcome = decide_outcome(answer);
-    answer.took = now - query.started;
     answer.spans = std::move(result.spans);
     if (!answer.lacking.empty())
         answer.error =
             std::to_string(answer.lacking.size()) + " of " +
             std::to_string(answer.lacking.size() + answer.included.size()) +
             " shards are lacking";
+    finish(query.admitted, std::move(answer), now, out);
+    return true;
+}
+
+void root::finish(const admitted& query, search_answer answer,
+                  base::instant now, core::effects& out)
+{
+    answer.took = now - query.started;
     out.emplace_back(core::log_event{
         core::event_id::query_finished,
         {{"search", answer.search},
@@ -149,9 +251,56 @@
          {"lacking", std::to_string(answer.lacking.size())},
          {"ms", std::to_string(base::to_ms(answer.took))},
          {"trace", answer.trace}}});
-    answers_.push_back(std::move(answer));
-    open_.erase(it);
-    return true;
+    if (query.claim == 0)
+        answers_.push_back(std::move(answer));
+    else
+        close_claim(query, std::move(answer), now, out);
+}
+
+// Records what the request came to. One that provably did not run gives its
+// claim back, so that a re-send may run.
+void root::close_claim(const admitted& query, search_answer answer,
+                       base::instant now, core::effects& out)
+{
+    if (answer.outcome != model::outcome::not_run)
+    {
+        claims_.record(query.claim, answer, now, out);
+        answers_.push_back(std::move(answer));
+        return;
+    }
+    claims_.release(query.claim, now, out);
+    if (now >= query.deadline)
+        answers_.push_back(std::move(answer));
+    else
+        releasing_.emplace(query.claim,
+                           held_answer{std::move(answer), query.deadline});
+}
+
+void root::on_claim_closed(std::uint64_t claim)
+{
+    auto taken = releasing_.extract(claim);
+    if (!taken.empty())
+        answers_.push_back(std::move(taken.mapped().answer));
+}
+
+void root::on_tick(base::instant now)
+{
+    std::erase_if(releasing_,
+                  [&](auto& item)
+                  {
+                      if (item.second.deadline > now)
+                          return false;
+                      answers_.push_back(std::move(item.second.answer));
+                      return true;
+                  });
+}
+
+base::instant root::next_wakeup() const
+{
+    auto out = base::never;
+    for (const auto& [claim, it] : releasing_)
+        out = std::min(out, it.deadline);
+    return out;
 }
 
 std::vector<search_answer> root::take_answers()
