--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -21,10 +21,10 @@
 
 } // namespace
 
-node::node(fleet::agent_options options, std::uint64_t seed)
-    : fleet_(std::move(options), seed), scatter_(fleet_, seed + 1),
+node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
+    : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
       claims_(claims_of(fleet_.options()), seed + 2),
-      root_(fleet_, scatter_, claims_), leaf_(fleet_)
+      root_(fleet_, scatter_, claims_), leaf_(fleet_, options.leaf)
 {
 }
 
@@ -97,7 +97,7 @@
     job.request = msg;
     job.request.shards.clear();
     job.request.hops_left = static_cast<std::uint8_t>(msg.hops_left - 1);
-    job.request.parent_span = msg.attempt;
+    job.request.parent_span = 0;
     job.tasks = std::move(tasks);
     job.deadline = now + base::milliseconds(msg.budget_ms);
     const auto id = scatter_.start(std::move(job), now, out);
@@ -118,7 +118,7 @@
                              });
     if (it == relayed_.end())
         return;
-    scatter_.abandon(it->first, out);
+    scatter_.abandon(it->first, now, out);
     relayed_.erase(it);
 }
 
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -37,7 +37,10 @@
 
 } // namespace
 
-leaf::leaf(fleet::agent& fleet) : fleet_(fleet) {}
+leaf::leaf(fleet::agent& fleet, leaf_options options)
+    : fleet_(fleet), options_(options)
+{
+}
 
 void leaf::on_forward(const std::string& from, const wire::forward& msg,
                       std::vector<wire::shard_task> tasks, base::instant now,
@@ -299,7 +302,7 @@
             continue;
         wire::span hop;
         hop.id = it->second.spans.size() + 1;
-        hop.parent = it->second.request.attempt;
+        hop.parent = 0; // below the span of the forward
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
