--- a/include/mimosacroft/query/scatter.hpp
+++ b/include/mimosacroft/query/scatter.hpp
@@ -21,6 +21,9 @@
 {
     wire::forward request; ///< all fields but attempt, budget_ms and shards
     std::vector<wire::shard_task> tasks; ///< no shard twice
+    /// For each task the upstreams to go on with when its own cannot be
+    /// reached, in order of preference; may be empty.
+    std::vector<std::vector<std::string>> alternatives;
     base::instant deadline;              ///< when the reports are due
 };
 
@@ -29,9 +32,12 @@
 {
     std::uint64_t job = 0;
     std::vector<wire::shard_report> reports;
-    std::vector<wire::span> spans;
+    std::vector<wire::span> spans; ///< ids unique here, from first_span_id on
 };
 
+/// The ids of a job's spans start here; smaller ones are left to its owner.
+inline constexpr std::uint64_t first_span_id = 2;
+
 class scatter
 {
 public:
@@ -50,7 +56,7 @@
                       core::effects& out);
 
     /// Gives a job up; there will be no result.
-    void abandon(std::uint64_t job, core::effects& out);
+    void abandon(std::uint64_t job, base::instant now, core::effects& out);
 
     void on_tick(base::instant now, core::effects& out);
     base::instant next_wakeup() const;
@@ -65,6 +71,7 @@
         bool reported = false;
         bool maybe_run = false;      ///< some forward of it was written
         std::set<std::string> tried; ///< VMs that were lost with it
+        std::vector<std::string> alternatives; ///< not used yet
     };
 
     struct open_job
@@ -73,7 +80,9 @@
         base::instant started;
         std::vector<open_task> tasks;
         std::size_t missing = 0; ///< tasks without a report
+        std::set<std::uint32_t> attempts; ///< its open forwards
         std::vector<wire::span> spans;
+        std::uint64_t next_span = first_span_id;
     };
 
     /// A forward that has been sent and is not closed.
@@ -83,9 +92,12 @@
         std::string vm;
         base::instant sent;
         std::vector<std::size_t> tasks; ///< positions in the job's tasks
+        std::uint64_t span = 0;
     };
 
-    std::string route(const open_task& it);
+    bool is_far(const open_task& it) const;
+    std::string route(const open_task& it, base::instant now);
+    std::string reroute(open_task& it, base::instant now);
     void dispatch(std::uint64_t id, const std::vector<std::size_t>& positions,
                   base::instant now, core::effects& out);
     void send(std::uint64_t id, const std::string& vm,
@@ -93,11 +105,18 @@
               core::effects& out);
     void report(open_job& job, std::size_t position,
                 const wire::shard_report& it);
+    bool use_alternative(open_job& job, std::size_t position,
+                         const wire::shard_report& it);
+    open_forward take_forward(std::uint32_t attempt, const std::string& note,
+                              base::instant now);
+    void adopt_spans(open_job& job, const open_forward& forward,
+                     const std::vector<wire::span>& spans);
     void lose_forward(const open_forward& gone, bool was_up, base::instant now,
                       core::effects& out);
     void finish_if_complete(std::uint64_t id);
-    void expire(std::uint64_t id, core::effects& out);
-    void close_forwards(std::uint64_t id, core::effects& out);
+    void expire(std::uint64_t id, base::instant now, core::effects& out);
+    void close_forwards(std::uint64_t id, const std::string& note,
+                        base::instant now, core::effects& out);
 
     const fleet::agent& fleet_;
     std::mt19937_64 random_;
@@ -105,6 +124,8 @@
     std::uint32_t last_attempt_ = 0;
     std::map<std::uint64_t, open_job> jobs_;
     std::map<std::uint32_t, open_forward> forwards_; ///< by attempt
+    std::map<std::string, std::set<std::uint32_t>> sent_to_; ///< by VM
+    std::map<std::string, base::instant> avoided_; ///< VMs, until when
     std::set<std::pair<base::instant, std::uint64_t>> deadlines_; ///< with job
     std::vector<scatter_result> finished_;
 };
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -302,7 +302,7 @@
             continue;
         wire::span hop;
         hop.id = it->second.spans.size() + 1;
-        hop.parent = it->second.request.attempt;
+        hop.parent = 0; // below the span of the forward
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
