--- a/bench/query_bench.cpp
+++ b/bench/query_bench.cpp
@@ -99,7 +99,7 @@
     for (std::size_t n = 1; n <= members; ++n)
         vms.push_back(
             {near + "-" + std::to_string(n), near, "10.0.0.1:9", false});
-    it.on_message(far + "-1", 7, wire::view_push{1, vms, {}}, start, out);
+    it.on_message(far + "-1", 7, wire::view_push{1, vms, 0, {}}, start, out);
     it.on_message(far + "-1", 7, config, start, out);
     it.on_tick(start, out);
     for (const auto& e : out)
