Leaf: priorities, budget, replica choice, hedges, held slots

Cause: the thin leaf served in order of arrival, chose by requests in flight alone, never hedged, and forgot a canceled call while its server was still busy. Three faults of it are mended besides: a refusal after an attempt that may have run was reported as not run; a forward of a restarted sender with the same attempt number was dropped as a duplicate; a task whose servers had all failed held up the queue behind it. Change: work_queue (urgent first, earliest deadline first, a bounded ordinary share), extra_budget (token bucket), latency_tracker, replica_chooser (own observation, capped ejection, slow start), slot_ledger (a call given up holds its slot until the cancel is confirmed or its deadline has passed). Ruled out: an attempt that was never written costs no budget, as it is no load. The new tests were not run against the thin leaf.

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -23,6 +23,9 @@
     // 300 to 399: work on upstreams.
     upstream_failed = 300,
     upstream_answer_refused = 301,
+    server_ejected = 310,
+    server_leaving = 311,
+    work_refused = 312,
     // 400 to 499: members, views and links.
     view_changed = 400,
     peer_lost = 401,
@@ -60,6 +63,9 @@
     {event_id::upstream_failed, severity::warning, "upstream_failed"},
     {event_id::upstream_answer_refused, severity::warning,
      "upstream_answer_refused"},
+    {event_id::server_ejected, severity::warning, "server_ejected"},
+    {event_id::server_leaving, severity::info, "server_leaving"},
+    {event_id::work_refused, severity::warning, "work_refused"},
     {event_id::view_changed, severity::info, "view_changed"},
     {event_id::peer_lost, severity::warning, "peer_lost"},
     {event_id::link_refused, severity::warning, "link_refused"},
--- a/include/mimosacroft/query/upstream_codec.hpp
+++ b/include/mimosacroft/query/upstream_codec.hpp
@@ -55,8 +55,20 @@
 /// Reads the body of a reply with status 200.
 base::result<upstream_reply> decode_reply(const std::string& body);
 
-/// Whether a reply says that the whole batch was refused before it started.
-bool refused_before_start(const wire::http_reply& reply);
+/// The server's word that it refused a whole batch before it started.
+struct upstream_refusal
+{
+    std::string reason;
+    std::string incarnation;
+    bool leaving = false;
+};
+
+/// Reads the refusal of a whole batch; nothing if the reply is none.
+std::optional<upstream_refusal> decode_refusal(const wire::http_reply& reply);
+
+/// Asks a server to give up subqueries. Status 200 confirms that they no longer
+/// use a slot.
+wire::http_request encode_cancel(const std::vector<std::string>& ids);
 
 } // namespace mimosacroft::query
 
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -1,9 +1,8 @@
 // The leaf: asks the servers of the upstreams that this VM owns.
 #include "mimosacroft/query/leaf.hpp"
 
-#include "mimosacroft/base/crypto.hpp"
-
 #include <algorithm>
+#include <cassert>
 
 namespace mimosacroft::query
 {
@@ -16,37 +15,84 @@
 /// How often waiting subqueries are looked at when no reply frees a slot.
 constexpr base::milliseconds wait_check{20};
 
-wire::shard_report lacking(std::uint32_t shard, model::lack_reason reason,
-                           bool maybe_run)
-{
-    wire::shard_report out;
-    out.shard = shard;
-    out.lack = static_cast<std::uint8_t>(reason);
-    out.maybe_run = maybe_run;
-    return out;
-}
+constexpr double hedge_quantile = 0.95;
+constexpr std::size_t min_hedge_samples = 20;
+constexpr base::milliseconds min_hedge_delay{1};
+constexpr double typical_quantile = 0.5;
 
+// The query, shard and attempt of the root, then the leaf's process, call and
+// position in it: a cancel must not reach the subquery of another leaf.
 std::string subquery_id(const wire::forward& request, std::uint32_t shard,
-                        std::uint32_t attempt)
+                        std::uint64_t leaf_incarnation, std::uint64_t call,
+                        std::size_t position)
 {
     return std::to_string(request.query.root_incarnation) + "-" +
            std::to_string(request.query.query) + "-" + std::to_string(shard) +
            "-" + std::to_string(request.attempt) + "." +
-           std::to_string(attempt);
+           std::to_string(leaf_incarnation) + "-" + std::to_string(call) + "-" +
+           std::to_string(position);
+}
+
+model::priority priority_of(const wire::forward& request)
+{
+    return base::value_at<model::priority>(request.priority)
+        .value_or(model::priority::ordinary);
+}
+
+std::int64_t to_us(base::duration it)
+{
+    return std::chrono::duration_cast<base::microseconds>(it).count();
+}
+
+double to_fractional_ms(base::duration it)
+{
+    return std::chrono::duration<double, std::milli>(it).count();
 }
 
 } // namespace
 
+struct leaf::copy_end
+{
+    model::lack_reason reason = model::lack_reason::failed;
+    bool ran = true;     ///< may have run at the server
+    bool written = true; ///< bytes of it went to the server
+};
+
 leaf::leaf(fleet::agent& fleet, leaf_options options)
-    : fleet_(fleet), options_(options)
+    : fleet_(fleet), options_(options),
+      chooser_(
+          {.by_latency = options.replica_choice, .ejection = options.ejection})
 {
 }
 
+leaf::lane& leaf::lane_of(const std::string& upstream)
+{
+    const auto it = lanes_.find(upstream);
+    if (it != lanes_.end())
+        return it->second;
+    lane made{work_queue<task_key>(
+                  work_queue_options{.priorities = options_.priorities}),
+              extra_budget(extra_budget_options{.enabled = options_.budget}),
+              {}};
+    return lanes_.emplace(upstream, std::move(made)).first->second;
+}
+
+leaf::open_task* leaf::find(const task_key& key)
+{
+    const auto it = forwards_.find(key.forward);
+    if (it == forwards_.end())
+        return nullptr;
+    auto& task = it->second.tasks[key.task];
+    return task.reported ? nullptr : &task;
+}
+
+// ---- Waiting
+
 void leaf::on_forward(const std::string& from, const wire::forward& msg,
                       std::vector<wire::shard_task> tasks, base::instant now,
                       core::effects& out)
 {
-    const forward_key key(from, msg.attempt);
+    const forward_key key{from, msg.query, msg.attempt};
     if (forwards_.contains(key))
         return;
     auto& made = forwards_[key];
@@ -55,125 +101,318 @@
     made.started = now;
     made.deadline = now + base::milliseconds(msg.budget_ms);
     made.missing = tasks.size();
+    made.tasks.resize(tasks.size());
+    due_.emplace(made.deadline, key);
     std::set<std::string> upstreams;
-    for (auto& task : tasks)
+    for (std::size_t n = 0; n < tasks.size(); ++n)
     {
-        upstreams.insert(task.upstream);
-        waiting_[task.upstream].push_back({key, made.tasks.size()});
-        made.tasks.push_back({std::move(task), false, false, 0, {}});
+        upstreams.insert(tasks[n].upstream);
+        made.tasks[n].task = std::move(tasks[n]);
+        enqueue({key, n}, now, out);
     }
     for (const auto& name : upstreams)
         dispatch(name, now, out);
+    answer_if_complete(key);
 }
 
-leaf::open_task* leaf::find(const task_key& key)
+void leaf::enqueue(const task_key& key, base::instant now, core::effects& out)
 {
-    const auto it = forwards_.find(key.forward);
-    if (it == forwards_.end())
-        return nullptr;
-    auto& task = it->second.tasks[key.task];
-    return task.reported ? nullptr : &task;
+    auto& task = *find(key);
+    const auto& forward = forwards_.at(key.forward);
+    const auto& name = task.task.upstream;
+    auto& lane = lane_of(name);
+    const auto* upstream = fleet_.catalog().find_upstream(name);
+    if (upstream && !can_make_it(lane, *upstream, forward, now))
+        return refuse_early(key, out);
+    const auto priority = priority_of(forward.request);
+    if (lane.waiting.full())
+    {
+        const auto evicted = priority == model::priority::urgent
+                                 ? lane.waiting.evict_ordinary()
+                                 : std::nullopt;
+        if (!evicted)
+            return refuse_early(key, out);
+        find(*evicted)->queued.reset();
+        refuse_early(*evicted, out);
+        answer_if_complete(evicted->forward);
+    }
+    task.queued = lane.waiting.push(priority, forward.deadline, key);
+    standing_.insert(name);
 }
 
-const model::server* leaf::choose_server(const model::upstream& upstream,
-                                         const open_task& task,
-                                         std::uint32_t slots) const
+// Whether a task can be answered by its deadline if it waits now. While a slot
+// is free there is no wait, and the task is tried whatever was seen before:
+// otherwise one slow spell would refuse all that could show its end.
+bool leaf::can_make_it(lane& in, const model::upstream& upstream,
+                       const open_forward& forward, base::instant now) const
 {
-    const auto load = [this](const model::server& it)
-    {
-        const auto found = in_flight_.find(it.name);
-        return found == in_flight_.end() ? 0U : found->second;
-    };
-    const model::server* best = nullptr;
-    for (const auto& it : upstream.servers)
-    {
-        if (it.leaving || task.tried.contains(it.name) || load(it) >= slots)
-            continue;
-        if (!best || load(it) < load(*best))
-            best = &it;
-    }
-    return best;
+    const auto part = fleet_.ownership().usable(upstream.name, now);
+    const auto slots = std::min(part.slots, part.connections);
+    const auto has_free = [&](const model::server& it)
+    { return slots_.used(it.name) < slots; };
+    if (slots == 0 || std::ranges::any_of(upstream.servers, has_free))
+        return true;
+    const auto priority = priority_of(forward.request);
+    const auto round = slots * upstream.servers.size() * max_batch;
+    const auto ahead = in.waiting.size() < round
+                           ? 0
+                           : in.waiting.ahead_of(priority, forward.deadline);
+    const auto rounds = static_cast<base::duration::rep>(ahead / round + 1);
+    const auto needed = in.latency.quantile(typical_quantile) * rounds;
+    // Twice the need leaves room for the share of ordinary ones.
+    if (priority == model::priority::urgent &&
+        now + 2 * needed > forward.deadline)
+        in.waiting.press_urgent();
+    return now + needed <= forward.deadline;
+}
+
+void leaf::refuse_early(const task_key& key, core::effects& out)
+{
+    const auto& task = *find(key);
+    ++totals_.refusals;
+    out.emplace_back(
+        core::log_event{core::event_id::work_refused,
+                        {{"peer", task.task.upstream},
+                         {"step", "wait"},
+                         {"search", forwards_.at(key.forward).request.search},
+                         {"shard", task.task.name}}});
+    report_lacking(key, model::lack_reason::overload);
+}
+
+void leaf::unqueue(open_task& task)
+{
+    if (!task.queued)
+        return;
+    lane_of(task.task.upstream).waiting.remove(*task.queued);
+    task.queued.reset();
+}
+
+// ---- Sending
+
+bool leaf::takes_work(const model::server& server) const
+{
+    if (server.leaving)
+        return false;
+    const auto* known = chooser_.find(server.name);
+    return !fleet_.is_leaving(server.name, known ? known->incarnation : "");
+}
+
+replica_chooser::limits leaf::limits_of(const model::upstream& upstream,
+                                        const open_task& task,
+                                        base::instant now) const
+{
+    const auto part = fleet_.ownership().usable(upstream.name, now);
+    return {std::min(part.slots, part.connections),
+            [this](const std::string& name) { return slots_.used(name); },
+            [this](const model::server& it) { return takes_work(it); },
+            &task.asked};
 }
 
 void leaf::dispatch(const std::string& name, base::instant now,
                     core::effects& out)
 {
     const auto* upstream = fleet_.catalog().find_upstream(name);
-    auto& waiting = waiting_[name];
-    if (!upstream)
+    const auto found = lanes_.find(name);
+    if (!upstream || found == lanes_.end())
         return;
-    const auto part = fleet_.ownership().usable(name, now);
-    const auto slots = std::min(part.slots, part.connections);
-    while (!waiting.empty())
+    auto& from = found->second;
+    // Retries whose other servers are all busy; they let the rest pass.
+    std::vector<task_key> deferred;
+    while (!from.waiting.empty() &&
+           serve_next(*upstream, from, deferred, now, out))
     {
-        const auto first = waiting.front();
-        auto* task = find(first);
-        if (!task)
-        {
-            waiting.pop_front();
-            continue;
-        }
-        const auto* server = choose_server(*upstream, *task, slots);
-        if (!server)
-            return;
-        // A request that may not be repeated travels alone, so that nothing
-        // that befalls another one can touch it.
-        const bool alone = !forwards_.at(first.forward).request.repeatable;
-        std::vector<task_key> batch;
-        while (!waiting.empty() && batch.size() < max_batch)
-        {
-            const auto* next = find(waiting.front());
-            if (next && next->tried.contains(server->name))
-                break;
-            if (next)
-                batch.push_back(waiting.front());
-            waiting.pop_front();
-            if (alone)
-                break;
-        }
-        send_batch(*upstream, *server, batch, now, out);
     }
+    for (const auto& key : deferred)
+    {
+        const auto& forward = forwards_.at(key.forward);
+        find(key)->queued = from.waiting.push(priority_of(forward.request),
+                                              forward.deadline, key);
+    }
+    if (from.waiting.empty())
+        standing_.erase(name);
 }
 
-void leaf::send_batch(const model::upstream& upstream,
-                      const model::server& server,
-                      const std::vector<task_key>& batch, base::instant now,
+// Serves or sets aside the first of the queue; false if nothing can be served.
+bool leaf::serve_next(const model::upstream& upstream, lane& from,
+                      std::vector<task_key>& deferred, base::instant now,
                       core::effects& out)
 {
-    open_call call{upstream.name, server.name, now, {}};
+    const auto first = from.waiting.front().second;
+    auto& task = *find(first);
+    const auto within = limits_of(upstream, task, now);
+    if (!chooser_.has_candidate(upstream, within, now))
+    {
+        unqueue(task);
+        report_lacking(first, task.attempts > 0
+                                  ? task.lack
+                                  : model::lack_reason::no_server);
+        answer_if_complete(first.forward);
+        return true;
+    }
+    const auto* server = chooser_.choose(upstream, within, now);
+    if (server)
+    {
+        send(upstream, *server, take_batch(from, *server),
+             attempt_kind::first_or_retry, now, out);
+        return true;
+    }
+    if (task.asked.empty())
+        return false;
+    unqueue(task);
+    deferred.push_back(first);
+    return true;
+}
+
+// A request that may not be repeated travels alone, so that nothing that
+// befalls another one can touch it.
+std::vector<leaf::task_key> leaf::take_batch(lane& from,
+                                             const model::server& server)
+{
+    const auto alone = [this](const task_key& key)
+    { return !forwards_.at(key.forward).request.repeatable; };
+    std::vector<task_key> batch;
+    while (!from.waiting.empty() && batch.size() < max_batch)
+    {
+        const auto& next = from.waiting.front().second;
+        if (!batch.empty() &&
+            (alone(next) || find(next)->asked.contains(server.name)))
+            break;
+        batch.push_back(from.waiting.pop());
+        find(batch.back())->queued.reset();
+        if (alone(batch.back()))
+            break;
+    }
+    return batch;
+}
+
+void leaf::send(const model::upstream& upstream, const model::server& server,
+                const std::vector<task_key>& batch, attempt_kind kind,
+                base::instant now, core::effects& out)
+{
+    auto& lane = lane_of(upstream.name);
+    open_call call;
+    call.id = ++last_call_;
+    call.upstream = upstream.name;
+    call.server = server.name;
+    call.address = server.address;
+    call.sent = now;
+    call.deadline = now;
     std::vector<upstream_subquery> subqueries;
-    base::instant deadline = now;
     bool repeatable = true;
     for (const auto& key : batch)
     {
         auto& task = *find(key);
         const auto& forward = forwards_.at(key.forward);
-        task.maybe_run = true;
+        if (task.attempts == 0)
+        {
+            lane.budget.on_first_attempt();
+            ++totals_.first_attempts;
+        }
         ++task.attempts;
-        const auto id =
-            subquery_id(forward.request, task.task.shard, task.attempts);
+        task.asked.insert(server.name);
+        task.calls.insert(call.id);
+        const auto id = subquery_id(forward.request, task.task.shard,
+                                    fleet_.options().incarnation, call.id,
+                                    subqueries.size());
         const auto left = base::to_ms(forward.deadline - now);
         subqueries.push_back(
             {id, forward.request.search, forward.request.epoch, task.task.name,
              static_cast<std::uint32_t>(std::max<long long>(left, 0)),
              forward.request.body});
         call.tasks.emplace(id, key);
-        deadline = std::max(deadline, forward.deadline);
+        call.deadline = std::max(call.deadline, forward.deadline);
         repeatable = repeatable && forward.request.repeatable;
     }
-    const auto id = ++last_call_;
-    ++in_flight_[server.name];
+    if (options_.hedging && repeatable &&
+        kind == attempt_kind::first_or_retry &&
+        lane.latency.samples() >= min_hedge_samples)
+    {
+        call.hedge_at =
+            now + std::max<base::duration>(
+                      lane.latency.quantile(hedge_quantile), min_hedge_delay);
+        hedge_due_.emplace(call.hedge_at, call.id);
+    }
+    slots_.open(call.id, server.name);
+    out.emplace_back(core::http_call{
+        core::call_owner::leaf, call.id, server.address,
+        encode_subqueries(subqueries), call.deadline, !repeatable});
+    const auto id = call.id;
     calls_.emplace(id, std::move(call));
-    out.emplace_back(core::http_call{core::call_owner::leaf, id, server.address,
-                                     encode_subqueries(subqueries), deadline,
-                                     !repeatable});
 }
 
-void leaf::refuse(const open_call& call, std::string reason,
-                  core::effects& out) const
+// Asks another replica for what a slow call has not answered yet.
+void leaf::hedge(std::uint64_t id, base::instant now, core::effects& out)
 {
+    const auto it = calls_.find(id);
+    if (it == calls_.end())
+        return;
+    const auto& call = it->second;
+    const auto* upstream = fleet_.catalog().find_upstream(call.upstream);
+    auto& lane = lane_of(call.upstream);
+    if (!upstream || !lane.waiting.empty())
+        return;
+    const model::server* server = nullptr;
+    std::vector<task_key> batch;
+    for (const auto& [text, key] : call.tasks)
+    {
+        const auto* task = find(key);
+        if (!task || task->calls.size() != 1 ||
+            forwards_.at(key.forward).deadline <= now)
+            continue;
+        if (!server)
+            server = chooser_.choose(*upstream,
+                                     limits_of(*upstream, *task, now), now);
+        if (!server)
+            return;
+        if (task->asked.contains(server->name))
+            continue;
+        if (!lane.budget.take())
+            break;
+        batch.push_back(key);
+    }
+    if (batch.empty())
+        return;
+    totals_.hedges += batch.size();
+    send(*upstream, *server, batch, attempt_kind::hedge, now, out);
+}
+
+// Gives up a call when none of its subqueries is needed any more.
+void leaf::abandon_if_unwanted(std::uint64_t id, base::instant now,
+                               core::effects& out)
+{
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.deadline <= now)
+        return;
+    const auto call = it->second;
+    const auto wanted = [this](const auto& item)
+    { return find(item.second) != nullptr; };
+    if (std::ranges::any_of(call.tasks, wanted))
+        return;
+    calls_.erase(it);
+    hedge_due_.erase({call.hedge_at, id});
+    slots_.hold(id, call.deadline);
+    chooser_.on_abandoned(call.server, now - call.sent, now);
+    lane_of(call.upstream).latency.add(now - call.sent);
+    std::vector<std::string> ids;
+    for (const auto& [text, key] : call.tasks)
+        ids.push_back(text);
+    const auto cancel = ++last_call_;
+    cancels_[cancel] = {id, call.upstream};
+    ++totals_.cancels;
+    out.emplace_back(core::abandon_call{core::call_owner::leaf, id});
+    out.emplace_back(core::http_call{core::call_owner::leaf, cancel,
+                                     call.address, encode_cancel(ids),
+                                     call.deadline, false});
+}
+
+// ---- Receiving
+
+void leaf::refuse(const std::string& server, std::string reason,
+                  core::effects& out)
+{
+    ++totals_.bad_answers;
     out.emplace_back(core::log_event{core::event_id::upstream_answer_refused,
-                                     {{"peer", call.server},
+                                     {{"peer", server},
                                       {"step", "receive"},
                                       {"reason", std::move(reason)}}});
 }
@@ -182,226 +421,384 @@
                          const base::result<wire::http_reply>& reply,
                          base::instant now, core::effects& out)
 {
+    if (const auto canceled = cancels_.find(id); canceled != cancels_.end())
+    {
+        const auto what = canceled->second;
+        cancels_.erase(canceled);
+        if (reply && reply->status == 200)
+            slots_.close(what.call);
+        return dispatch(what.upstream, now, out);
+    }
     const auto it = calls_.find(id);
     if (it == calls_.end())
-        return;
+        return refuse("", "reply to no open call", out);
     const auto call = std::move(it->second);
     calls_.erase(it);
-    --in_flight_[call.server];
+    hedge_due_.erase({call.hedge_at, id});
+    slots_.close(id);
+    for (const auto& [text, key] : call.tasks)
+        if (auto* task = find(key))
+            task->calls.erase(id);
+    add_spans(call, now);
 
-    const auto fail_all =
-        [&](model::lack_reason reason, bool maybe_run, const std::string& why)
-    {
-        out.emplace_back(core::log_event{
-            core::event_id::upstream_failed,
-            {{"peer", call.server}, {"step", "receive"}, {"reason", why}}});
-        for (const auto& [text, key] : call.tasks)
-            retry_or_report(key, call, reason, maybe_run);
-    };
+    using enum model::lack_reason;
     if (!reply)
     {
         const auto code = reply.error().code;
         const bool unsent = code == base::error_code::unreachable;
         const bool late = code == base::error_code::timeout;
-        fail_all(unsent ? model::lack_reason::unreachable
-                 : late ? model::lack_reason::timeout
-                        : model::lack_reason::failed,
-                 !unsent, base::to_string(reply.error()));
+        take_failure(call,
+                     {unsent ? unreachable
+                      : late ? timeout
+                             : failed,
+                      !unsent, !unsent},
+                     base::to_string(reply.error()), now, out);
+    }
+    else if (const auto refusal = decode_refusal(*reply))
+    {
+        note_server(call.server, refusal->incarnation, refusal->leaving, {},
+                    now, out);
+        take_failure(call, {refused, false, true},
+                     "refused before start: " + refusal->reason, now, out);
     }
-    else if (refused_before_start(*reply))
-        fail_all(model::lack_reason::refused, false, "refused before start");
     else if (reply->status != 200)
-        fail_all(model::lack_reason::failed, true,
-                 "status " + std::to_string(reply->status));
+        take_failure(call, {failed, true, true},
+                     "status " + std::to_string(reply->status), now, out);
     else if (const auto parsed = decode_reply(reply->body); !parsed)
-        fail_all(model::lack_reason::bad_answer, true, parsed.error().text);
+    {
+        ++totals_.bad_answers;
+        take_failure(call, {bad_answer, true, true}, parsed.error().text, now,
+                     out);
+    }
     else
         take_reply(call, *parsed, now, out);
 
     std::set<forward_key> touched;
     for (const auto& [text, key] : call.tasks)
         touched.insert(key.forward);
-    for (const auto& key : touched)
-        answer_if_complete(key, now);
+    std::ranges::for_each(touched,
+                          [this](const auto& key) { answer_if_complete(key); });
     dispatch(call.upstream, now, out);
 }
 
+void leaf::take_failure(const open_call& call, const copy_end& how,
+                        const std::string& why, base::instant now,
+                        core::effects& out)
+{
+    out.emplace_back(
+        core::log_event{core::event_id::upstream_failed,
+                        {{"peer", call.server},
+                         {"step", how.written ? "receive" : "connect"},
+                         {"reason", why}}});
+    // A deadline shorter than the usual latency says nothing of the server.
+    const auto usual = lane_of(call.upstream).latency.quantile(hedge_quantile);
+    const bool late = how.reason == model::lack_reason::timeout;
+    if (late)
+        chooser_.on_abandoned(call.server, now - call.sent, now);
+    if (!late || now - call.sent >= usual)
+        note_failure(call, now, out);
+    for (const auto& [text, key] : call.tasks)
+        end_copy(call, key, how, now, out);
+}
+
+void leaf::note_failure(const open_call& call, base::instant now,
+                        core::effects& out)
+{
+    const auto* upstream = fleet_.catalog().find_upstream(call.upstream);
+    if (!upstream)
+        return;
+    if (const auto time = chooser_.on_failure(*upstream, call.server, now))
+        out.emplace_back(
+            core::log_event{core::event_id::server_ejected,
+                            {{"peer", call.server},
+                             {"step", "receive"},
+                             {"ms", std::to_string(base::to_ms(*time))}}});
+}
+
+void leaf::note_server(const std::string& server,
+                       const std::string& incarnation, bool leaving,
+                       std::optional<double> load, base::instant now,
+                       core::effects& out)
+{
+    chooser_.on_report(server, load, incarnation, now);
+    if (!leaving || incarnation.empty() ||
+        fleet_.is_leaving(server, incarnation))
+        return;
+    fleet_.mark_leaving(server, incarnation);
+    out.emplace_back(core::log_event{
+        core::event_id::server_leaving,
+        {{"peer", server}, {"step", "receive"}, {"incarnation", incarnation}}});
+}
+
 void leaf::take_reply(const open_call& call, const upstream_reply& reply,
                       base::instant now, core::effects& out)
 {
-    if (reply.leaving && !reply.incarnation.empty())
-        fleet_.mark_leaving(call.server, reply.incarnation);
+    note_server(call.server, reply.incarnation, reply.leaving, reply.load, now,
+                out);
     auto missing = call.tasks;
+    bool any_ok = false;
+    bool any_bad = false;
     for (const auto& result : reply.results)
     {
         const auto it = missing.find(result.id);
         if (it == missing.end())
         {
-            refuse(call, "answer to no open subquery", out);
+            refuse(call.server, "answer to no open subquery", out);
+            any_bad = true;
             continue;
         }
         const auto key = it->second;
         missing.erase(it);
-        auto* task = find(key);
-        if (!task)
-            continue;
-        const auto& request = forwards_.at(key.forward).request;
-        if (result.shard != task->task.name)
-        {
-            refuse(call, "answer of another shard", out);
-            retry_or_report(key, call, model::lack_reason::bad_answer, true);
-            continue;
-        }
-        switch (result.status)
-        {
-        case upstream_status::ok:
-            if (!result.epoch || *result.epoch != request.epoch)
-            {
-                refuse(call,
-                       result.epoch ? "answer of another epoch"
-                                    : "answer states no epoch",
-                       out);
-                retry_or_report(key, call,
-                                result.epoch ? model::lack_reason::wrong_epoch
-                                             : model::lack_reason::no_epoch,
-                                true);
-                break;
-            }
-            {
-                wire::shard_report made;
-                made.shard = task->task.shard;
-                made.included = true;
-                made.maybe_run = true;
-                made.extra_attempts = task->attempts - 1;
-                made.payload = result.payload;
-                report(key, std::move(made));
-            }
-            break;
-        case upstream_status::not_yet:
-        case upstream_status::no_longer:
-            retry_or_report(key, call, model::lack_reason::wrong_epoch, false);
-            break;
-        case upstream_status::refused:
-            retry_or_report(key, call, model::lack_reason::refused, false);
-            break;
-        case upstream_status::error:
-            retry_or_report(key, call, model::lack_reason::failed, true);
-            break;
-        }
+        const bool good = take_result(call, key, result, now, out);
+        any_ok = any_ok || good;
+        any_bad = any_bad || (!good && result.status == upstream_status::ok);
+        any_bad = any_bad || result.status == upstream_status::error;
     }
     for (const auto& [text, key] : missing)
     {
-        refuse(call, "no answer to a subquery", out);
-        retry_or_report(key, call, model::lack_reason::bad_answer, true);
+        refuse(call.server, "no answer to a subquery", out);
+        any_bad = true;
+        end_copy(call, key, {model::lack_reason::bad_answer, true, true}, now,
+                 out);
+    }
+    if (any_bad)
+        return note_failure(call, now, out);
+    if (!any_ok)
+        return;
+    chooser_.on_success(call.server, now - call.sent, now);
+    lane_of(call.upstream).latency.add(now - call.sent);
+}
+
+// Takes one answer; true if it is a true one, needed or not.
+bool leaf::take_result(const open_call& call, const task_key& key,
+                       const upstream_result& result, base::instant now,
+                       core::effects& out)
+{
+    using enum model::lack_reason;
+    const auto forward = forwards_.find(key.forward);
+    if (forward == forwards_.end())
+        return true;
+    auto& task = forward->second.tasks[key.task];
+    const auto refuse_as = [&](model::lack_reason reason, const char* text)
+    {
+        refuse(call.server, text, out);
+        end_copy(call, key, {reason, true, true}, now, out);
+        return false;
+    };
+    if (result.shard != task.task.name)
+        return refuse_as(bad_answer, "answer of another shard");
+    switch (result.status)
+    {
+    case upstream_status::not_yet:
+    case upstream_status::no_longer:
+        end_copy(call, key, {wrong_epoch, false, true}, now, out);
+        return false;
+    case upstream_status::refused:
+        end_copy(call, key, {refused, false, true}, now, out);
+        return false;
+    case upstream_status::error:
+        end_copy(call, key, {failed, true, true}, now, out);
+        return false;
+    case upstream_status::ok:
+        break;
     }
+    if (!result.epoch)
+        return refuse_as(no_epoch, "answer states no epoch");
+    if (*result.epoch != forward->second.request.epoch)
+        return refuse_as(wrong_epoch, "answer of another epoch");
+    if (task.reported)
+        return true; // The other copy was first.
+    wire::shard_report made;
+    made.shard = task.task.shard;
+    made.included = true;
+    made.maybe_run = true;
+    made.extra_attempts = task.attempts - 1;
+    made.payload = result.payload;
+    report(key, std::move(made));
+    for (const auto other : std::exchange(task.calls, {}))
+        abandon_if_unwanted(other, now, out);
+    return true;
+}
+
+// Notes how an attempt ended; what may still be answered is tried again.
+void leaf::end_copy(const open_call& call, const task_key& key,
+                    const copy_end& how, base::instant now, core::effects& out)
+{
+    auto* task = find(key);
+    if (!task)
+        return;
+    task->ran = task->ran || how.ran;
+    task->lack = how.reason;
+    if (!task->calls.empty())
+        return;
+    if (!may_retry(key, call, how, now))
+        return report_lacking(key, how.reason);
+    ++totals_.retries;
+    enqueue(key, now, out);
+}
+
+// An attempt that was never written put no load on a server, so that trying
+// another one costs no budget.
+bool leaf::may_retry(const task_key& key, const open_call& call,
+                     const copy_end& how, base::instant now)
+{
+    const auto& task = *find(key);
+    const auto& forward = forwards_.at(key.forward);
+    const auto* upstream = fleet_.catalog().find_upstream(call.upstream);
+    if (!upstream || forward.deadline <= now)
+        return false;
+    if (task.ran && !forward.request.repeatable)
+        return false;
+    if (!chooser_.has_candidate(*upstream, limits_of(*upstream, task, now),
+                                now))
+        return false;
+    return !how.written || lane_of(call.upstream).budget.take();
+}
+
+void leaf::add_spans(const open_call& call, base::instant now)
+{
     std::set<forward_key> traced;
     for (const auto& [text, key] : call.tasks)
     {
         const auto it = forwards_.find(key.forward);
         if (it == forwards_.end() || !traced.insert(key.forward).second)
             continue;
+        auto& forward = it->second;
         wire::span hop;
-        hop.id = it->second.spans.size() + 1;
-        hop.parent = it->second.request.attempt;
+        hop.id = forward.spans.size() + 1;
+        hop.parent = forward.request.attempt;
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
-        hop.start_us = std::chrono::duration_cast<base::microseconds>(
-                           call.sent - it->second.started)
-                           .count();
-        hop.length_us =
-            std::chrono::duration_cast<base::microseconds>(now - call.sent)
-                .count();
-        it->second.spans.push_back(hop);
+        hop.start_us = to_us(call.sent - forward.started);
+        hop.length_us = to_us(now - call.sent);
+        forward.spans.push_back(std::move(hop));
     }
 }
 
-// Puts a task back in the queue for another server, if it may run again.
-void leaf::retry_or_report(const task_key& key, const open_call& call,
-                           model::lack_reason reason, bool maybe_run)
+// ---- Reporting
+
+void leaf::report_lacking(const task_key& key, model::lack_reason reason)
 {
-    auto* task = find(key);
-    if (!task)
-        return;
-    task->tried.insert(call.server);
-    const auto& request = forwards_.at(key.forward).request;
-    const auto* upstream = fleet_.catalog().find_upstream(call.upstream);
-    const bool another =
-        upstream && task->tried.size() < upstream->servers.size();
-    if (another && (request.repeatable || !maybe_run))
-    {
-        waiting_[call.upstream].push_front(key);
-        return;
-    }
-    auto made = lacking(task->task.shard, reason, maybe_run);
-    made.extra_attempts = task->attempts - 1;
+    const auto& task = *find(key);
+    wire::shard_report made;
+    made.shard = task.task.shard;
+    made.lack = static_cast<std::uint8_t>(reason);
+    made.maybe_run = task.ran || !task.calls.empty();
+    made.extra_attempts = task.attempts > 0 ? task.attempts - 1 : 0;
     report(key, std::move(made));
 }
 
 void leaf::report(const task_key& key, wire::shard_report it)
 {
     auto& forward = forwards_.at(key.forward);
-    forward.tasks[key.task].reported = true;
+    auto& task = forward.tasks[key.task];
+    assert(!task.reported && "a shard is reported once");
+    unqueue(task);
+    task.reported = true;
     forward.reports.push_back(std::move(it));
     --forward.missing;
 }
 
-void leaf::answer_if_complete(const forward_key& key, base::instant)
+void leaf::answer_if_complete(const forward_key& key)
 {
     const auto it = forwards_.find(key);
     if (it == forwards_.end() || it->second.missing > 0)
         return;
     auto& forward = it->second;
+    due_.erase({forward.deadline, key});
     answers_.push_back(
-        {key.first,
-         {forward.request.query, key.second, forward.request.epoch,
+        {key.from,
+         {key.query, key.attempt, forward.request.epoch,
           std::move(forward.reports), std::move(forward.spans)}});
     forwards_.erase(it);
 }
 
 void leaf::on_cancel(const std::string& from, const wire::cancel& msg,
-                     base::instant, core::effects&)
+                     base::instant now, core::effects& out)
 {
-    const auto it = forwards_.find({from, msg.attempt});
-    if (it != forwards_.end() && it->second.request.query == msg.query)
-        forwards_.erase(it);
+    const forward_key key{from, msg.query, msg.attempt};
+    const auto it = forwards_.find(key);
+    if (it == forwards_.end())
+        return;
+    std::set<std::uint64_t> calls;
+    for (auto& task : it->second.tasks)
+    {
+        unqueue(task);
+        calls.insert(task.calls.begin(), task.calls.end());
+    }
+    due_.erase({it->second.deadline, key});
+    forwards_.erase(it);
+    for (const auto id : calls)
+        abandon_if_unwanted(id, now, out);
+}
+
+// Reports what a forward lacks at its deadline.
+void leaf::expire_forward(const forward_key& key, base::instant now,
+                          core::effects& out)
+{
+    std::set<std::uint64_t> calls;
+    auto& forward = forwards_.at(key);
+    for (std::size_t n = 0; n < forward.tasks.size(); ++n)
+    {
+        auto& task = forward.tasks[n];
+        if (task.reported)
+            continue;
+        calls.insert(task.calls.begin(), task.calls.end());
+        report_lacking({key, n}, model::lack_reason::timeout);
+    }
+    answer_if_complete(key);
+    for (const auto id : calls)
+        abandon_if_unwanted(id, now, out);
 }
 
 void leaf::on_tick(base::instant now, core::effects& out)
 {
     ticked_ = now;
-    std::vector<forward_key> due;
-    for (auto& [key, forward] : forwards_)
-        if (forward.deadline <= now)
-            due.push_back(key);
-    for (const auto& key : due)
+    while (!due_.empty() && due_.begin()->first <= now)
+        expire_forward(forward_key(due_.begin()->second), now, out);
+    slots_.expire(now);
+    const auto standing = standing_;
+    for (const auto& name : standing)
+        dispatch(name, now, out);
+    while (!hedge_due_.empty() && hedge_due_.begin()->first <= now)
     {
-        auto& forward = forwards_.at(key);
-        for (std::size_t n = 0; n < forward.tasks.size(); ++n)
-        {
-            const auto& task = forward.tasks[n];
-            if (!task.reported)
-                report({key, n},
-                       lacking(task.task.shard, model::lack_reason::timeout,
-                               task.maybe_run));
-        }
-        answer_if_complete(key, now);
+        const auto id = hedge_due_.begin()->second;
+        hedge_due_.erase(hedge_due_.begin());
+        hedge(id, now, out);
     }
-    for (auto& [name, waiting] : waiting_)
-        if (!waiting.empty())
-            dispatch(name, now, out);
 }
 
 base::instant leaf::next_wakeup() const
 {
-    auto out = base::never;
-    for (const auto& [key, forward] : forwards_)
-        out = std::min(out, forward.deadline);
-    const bool any_waits = std::ranges::any_of(
-        waiting_, [](const auto& item) { return !item.second.empty(); });
-    if (!any_waits || out == base::never)
-        return out;
-    return std::min(out, ticked_ + wait_check);
+    auto out = slots_.next_expiry();
+    if (!due_.empty())
+        out = std::min(out, due_.begin()->first);
+    if (!hedge_due_.empty())
+        out = std::min(out, hedge_due_.begin()->first);
+    if (!standing_.empty())
+        out = std::min(out, ticked_ + wait_check);
+    return out;
+}
+
+leaf_stats leaf::stats(base::instant now) const
+{
+    auto out = totals_;
+    for (const auto& [name, it] : lanes_)
+        out.waiting += it.waiting.size();
+    for (const auto& [name, upstream] : fleet_.catalog().upstreams())
+        for (const auto& server : upstream.servers)
+        {
+            const auto* known = chooser_.find(server.name);
+            if (!known)
+                continue;
+            out.servers.push_back({server.name, slots_.used(server.name),
+                                   slots_.held(server.name),
+                                   chooser_.ejected(server.name, now),
+                                   to_fractional_ms(known->latency.mean()),
+                                   to_fractional_ms(known->high)});
+        }
+    return out;
 }
 
 std::vector<leaf_answer> leaf::take_answers()
--- a/lib/query/upstream_codec.cpp
+++ b/lib/query/upstream_codec.cpp
@@ -72,12 +72,31 @@
     }
 }
 
-bool refused_before_start(const wire::http_reply& reply)
+std::optional<upstream_refusal> decode_refusal(const wire::http_reply& reply)
 {
     if (reply.status != status_unavailable)
-        return false;
-    const auto in = nlohmann::json::parse(reply.body, nullptr, false);
-    return in.is_object() && in.contains("refused");
+        return std::nullopt;
+    try
+    {
+        const auto in = nlohmann::json::parse(reply.body);
+        return upstream_refusal{in.at("refused").get<std::string>(),
+                                in.value("incarnation", ""),
+                                in.value("leaving", false)};
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+wire::http_request encode_cancel(const std::vector<std::string>& ids)
+{
+    wire::http_request out;
+    out.method = "POST";
+    out.path = "/v1/cancel";
+    out.headers["content-type"] = "application/json";
+    out.body = dump({{"ids", ids}});
+    return out;
 }
 
 } // namespace mimosacroft::query
