--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -337,3 +337,34 @@
     LONGS_EQUAL(100, stats.first_attempts);
     CHECK(stats.retries + stats.hedges <= 10 + 5);
 }
+
+TEST(leaf, hedges_keep_to_the_budget)
+{
+    // So many fast calls that the slow ones do not move the percentile.
+    rig.warm_up(500);
+    for (std::uint32_t n = 1; n <= 20; ++n)
+    {
+        rig.forward(n, 1);
+        rig.tick(milliseconds(100));
+        while (!rig.work().empty())
+            rig.reply_ok(rig.work().back());
+        for (const auto id : rig.cancels())
+            rig.reply(id, {{"ok", true}});
+    }
+    const auto stats = rig.leaf.stats(rig.now);
+    LONGS_EQUAL(520, stats.first_attempts);
+    CHECK(stats.hedges >= 5);
+    CHECK(stats.hedges <= 10 + 1);
+}
+
+TEST(leaf, a_restarted_sender_may_use_its_numbers_again)
+{
+    rig.forward(1, 1);
+    wire::forward msg;
+    msg.query = {43, 1};
+    msg.attempt = 1;
+    msg.epoch = epoch_of_tests;
+    msg.budget_ms = 300;
+    rig.leaf.on_forward("root", msg, {{0, "s0", "u"}}, rig.now, rig.out);
+    LONGS_EQUAL(2, rig.leaf.open());
+}
