--- a/bench/leaf_bench.cpp
+++ b/bench/leaf_bench.cpp
@@ -47,6 +47,7 @@
     out.vm = "vm-0";
     out.data_centre = "dc";
     out.ownership.handover_wait = base::milliseconds(0);
+    out.ownership.orphan_wait = base::milliseconds(0);
     out.ownership.view_ttl = base::seconds(3600);
     return out;
 }
@@ -64,11 +65,19 @@
             {"upstream", it.name, 1, false, model::to_json(it)});
     }
     to.on_config(push, start, ignored);
-    to.on_view({1, {{"vm-0", "dc", "127.0.0.1:9", false}}}, start, ignored);
-    wire::digest same;
-    same.ack = true;
-    same.view_version = 1;
-    to.on_digest("vm-0", 1, same, start, ignored);
+    wire::view_push view;
+    view.version = 1;
+    view.entries = {{"vm-0", "dc", "127.0.0.1:9", false}};
+    to.on_view(view, start, ignored);
+    core::effects asked;
+    to.on_tick(start, asked);
+    wire::http_reply newest;
+    newest.status = 200;
+    newest.body = R"({"version": 1, "vms": []})";
+    for (const auto& it : asked)
+        if (const auto* call = std::get_if<core::http_call>(&it))
+            to.on_http_reply(call->id, newest, start, ignored);
+    to.on_tick(start, ignored);
 }
 
 double time_choose(const model::upstream& from)
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -195,6 +195,8 @@
     void abandon_if_unwanted(std::uint64_t call, base::instant now,
                              core::effects& out);
 
+    void probe_leaving(base::instant now, core::effects& out);
+
     // Receiving.
     void take_failure(const open_call& call, const copy_end& how,
                       const std::string& why, base::instant now,
@@ -208,7 +210,7 @@
                       core::effects& out);
     void note_server(const std::string& server, const std::string& incarnation,
                      bool leaving, std::optional<double> load,
-                     base::instant now, core::effects& out);
+                     base::instant now);
     void end_copy(const open_call& call, const task_key& key,
                   const copy_end& how, base::instant now, core::effects& out);
     bool may_retry(const task_key& key, const open_call& call,
@@ -232,6 +234,8 @@
     std::set<std::pair<base::instant, forward_key>> due_; ///< open forwards
     std::map<std::uint64_t, open_call> calls_;
     std::map<std::uint64_t, open_cancel> cancels_;
+    std::map<std::uint64_t, std::string> probes_; ///< servers, by open call
+    base::instant next_probe_;
     std::set<std::pair<base::instant, std::uint64_t>> hedge_due_; ///< calls
     std::map<std::string, lane> lanes_;                           ///< upstreams
     std::set<std::string> standing_; ///< at least the upstreams that wait
--- a/include/mimosacroft/query/upstream_codec.hpp
+++ b/include/mimosacroft/query/upstream_codec.hpp
@@ -70,6 +70,19 @@
 /// use a slot.
 wire::http_request encode_cancel(const std::vector<std::string>& ids);
 
+/// What a server says of itself at its health endpoint.
+struct upstream_health
+{
+    std::string incarnation;
+    bool leaving = false;
+    std::optional<double> load;
+};
+
+wire::http_request encode_health();
+
+/// Reads a reply of the health endpoint; nothing if it cannot be read.
+std::optional<upstream_health> decode_health(const wire::http_reply& reply);
+
 } // namespace mimosacroft::query
 
 namespace mimosacroft::base
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -7,16 +7,31 @@
 namespace mimosacroft::node
 {
 
+namespace
+{
+
+query::claims_options claims_of(const fleet::agent_options& fleet)
+{
+    query::claims_options out;
+    out.vm = fleet.vm;
+    out.incarnation = fleet.incarnation;
+    out.platform_address = fleet.platform_address;
+    return out;
+}
+
+} // namespace
+
 node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
     : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
-      root_(fleet_, scatter_), leaf_(fleet_, options.leaf)
+      claims_(claims_of(fleet_.options()), seed + 2),
+      root_(fleet_, scatter_, claims_), leaf_(fleet_, options.leaf)
 {
 }
 
 void node::on_search(query::search_request request, base::instant now,
                      core::effects& out)
 {
-    if (draining_)
+    if (refuses_searches_)
     {
         query::search_answer refused;
         refused.ticket = request.ticket;
@@ -40,18 +55,18 @@
         scatter_.on_answer(from, *a, now, out);
     else if (const auto* c = std::get_if<wire::cancel>(&msg))
         on_cancel(from, *c, now, out);
-    else if (const auto* d = std::get_if<wire::digest>(&msg))
-        fleet_.on_digest(from, incarnation, *d, now, out);
-    else if (const auto* p = std::get_if<wire::config_push>(&msg))
-        fleet_.on_config(*p, now, out);
-    else if (const auto* v = std::get_if<wire::view_push>(&msg))
-        fleet_.on_view(*v, now, out);
+    else if (const auto* n = std::get_if<wire::drain_notice>(&msg))
+        on_drain_notice(from, *n, out);
+    else
+        fleet_.on_message(from, incarnation, msg, now, out);
     settle(now, out);
 }
 
 void node::on_forward(const std::string& from, const wire::forward& msg,
                       base::instant now, core::effects& out)
 {
+    if (draining_ && from != fleet_.options().vm)
+        return refuse_forward(from, msg, out);
     std::vector<wire::shard_task> own;
     std::vector<wire::shard_task> foreign;
     for (const auto& it : msg.shards)
@@ -62,6 +77,31 @@
         relay(from, msg, std::move(foreign), now, out);
 }
 
+// The notice goes first, so that the root knows why and asks another VM.
+void node::refuse_forward(const std::string& from, const wire::forward& msg,
+                          core::effects& out)
+{
+    send(from, wire::drain_notice{fleet_.options().incarnation}, out);
+    wire::forward_answer refused{msg.query, msg.attempt, msg.epoch, {}, {}};
+    for (const auto& it : msg.shards)
+    {
+        auto& report = refused.shards.emplace_back();
+        report.shard = it.shard;
+        report.lack = static_cast<std::uint8_t>(model::lack_reason::refused);
+    }
+    send(from, std::move(refused), out);
+}
+
+void node::on_drain_notice(const std::string& from,
+                           const wire::drain_notice& msg, core::effects& out)
+{
+    if (fleet_.is_draining(from))
+        return;
+    fleet_.note_draining(from, msg.incarnation);
+    out.emplace_back(
+        core::log_event{core::event_id::peer_draining, {{"peer", from}}});
+}
+
 void node::relay(const std::string& from, const wire::forward& msg,
                  std::vector<wire::shard_task> tasks, base::instant now,
                  core::effects& out)
@@ -82,7 +122,7 @@
     job.request = msg;
     job.request.shards.clear();
     job.request.hops_left = static_cast<std::uint8_t>(msg.hops_left - 1);
-    job.request.parent_span = msg.attempt;
+    job.request.parent_span = 0;
     job.tasks = std::move(tasks);
     job.deadline = now + base::milliseconds(msg.budget_ms);
     const auto id = scatter_.start(std::move(job), now, out);
@@ -103,7 +143,7 @@
                              });
     if (it == relayed_.end())
         return;
-    scatter_.abandon(it->first, out);
+    scatter_.abandon(it->first, now, out);
     relayed_.erase(it);
 }
 
@@ -125,6 +165,8 @@
         leaf_.on_http_reply(id, reply, now, out);
     else if (owner == core::call_owner::fleet)
         fleet_.on_http_reply(id, reply, now, out);
+    else if (owner == core::call_owner::claims)
+        claims_.on_http_reply(id, reply, now, out);
     settle(now, out);
 }
 
@@ -133,23 +175,30 @@
     fleet_.on_tick(now, out);
     leaf_.on_tick(now, out);
     scatter_.on_tick(now, out);
+    claims_.on_tick(now, out);
+    root_.on_tick(now);
     settle(now, out);
 }
 
 base::instant node::next_wakeup() const
 {
-    return std::min(
-        {fleet_.next_wakeup(), leaf_.next_wakeup(), scatter_.next_wakeup()});
+    return std::min({fleet_.next_wakeup(), leaf_.next_wakeup(),
+                     scatter_.next_wakeup(), claims_.next_wakeup(),
+                     root_.next_wakeup()});
 }
 
-void node::begin_drain(base::instant, core::effects&)
+void node::begin_drain(base::instant, core::effects& out)
 {
     draining_ = true;
+    for (const auto& it : fleet_.view().entries())
+        if (it.vm != fleet_.options().vm)
+            send(it.vm, wire::drain_notice{fleet_.options().incarnation}, out);
 }
 
 bool node::idle() const
 {
-    return root_.open() == 0 && leaf_.open() == 0 && relayed_.empty();
+    return root_.open() == 0 && leaf_.open() == 0 && relayed_.empty() &&
+           claims_.open() == 0;
 }
 
 std::vector<query::search_answer> node::take_answers()
@@ -176,6 +225,13 @@
 bool node::settle_once(base::instant now, core::effects& out)
 {
     bool moved = false;
+    for (auto& decision : claims_.take_decisions())
+    {
+        root_.on_claim(decision, now, out);
+        moved = true;
+    }
+    for (const auto claim : claims_.take_closed())
+        root_.on_claim_closed(claim);
     for (auto& answer : leaf_.take_answers())
     {
         send(answer.to, std::move(answer.msg), out);
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -15,6 +15,10 @@
 /// How often waiting subqueries are looked at when no reply frees a slot.
 constexpr base::milliseconds wait_check{20};
 
+/// How often a server that is marked as leaving is asked whether it is another
+/// process by now. No work goes to it, so nothing else would tell.
+constexpr base::milliseconds probe_period{1000};
+
 constexpr double hedge_quantile = 0.95;
 constexpr std::size_t min_hedge_samples = 20;
 constexpr base::milliseconds min_hedge_delay{1};
@@ -191,10 +195,7 @@
 
 bool leaf::takes_work(const model::server& server) const
 {
-    if (server.leaving)
-        return false;
-    const auto* known = chooser_.find(server.name);
-    return !fleet_.is_leaving(server.name, known ? known->incarnation : "");
+    return !server.leaving && !fleet_.is_leaving(server.name);
 }
 
 replica_chooser::limits leaf::limits_of(const model::upstream& upstream,
@@ -429,6 +430,16 @@
             slots_.close(what.call);
         return dispatch(what.upstream, now, out);
     }
+    if (const auto probe = probes_.find(id); probe != probes_.end())
+    {
+        const auto server = probe->second;
+        probes_.erase(probe);
+        const auto health = reply ? decode_health(*reply) : std::nullopt;
+        if (health)
+            note_server(server, health->incarnation, health->leaving,
+                        health->load, now);
+        return;
+    }
     const auto it = calls_.find(id);
     if (it == calls_.end())
         return refuse("", "reply to no open call", out);
@@ -457,7 +468,7 @@
     else if (const auto refusal = decode_refusal(*reply))
     {
         note_server(call.server, refusal->incarnation, refusal->leaving, {},
-                    now, out);
+                    now);
         take_failure(call, {refused, false, true},
                      "refused before start: " + refusal->reason, now, out);
     }
@@ -517,24 +528,19 @@
 
 void leaf::note_server(const std::string& server,
                        const std::string& incarnation, bool leaving,
-                       std::optional<double> load, base::instant now,
-                       core::effects& out)
+                       std::optional<double> load, base::instant now)
 {
     chooser_.on_report(server, load, incarnation, now);
-    if (!leaving || incarnation.empty() ||
-        fleet_.is_leaving(server, incarnation))
-        return;
-    fleet_.mark_leaving(server, incarnation);
-    out.emplace_back(core::log_event{
-        core::event_id::server_leaving,
-        {{"peer", server}, {"step", "receive"}, {"incarnation", incarnation}}});
+    if (!incarnation.empty())
+        fleet_.note_incarnation(server, incarnation);
+    if (leaving && !incarnation.empty())
+        fleet_.mark_leaving(server, incarnation);
 }
 
 void leaf::take_reply(const open_call& call, const upstream_reply& reply,
                       base::instant now, core::effects& out)
 {
-    note_server(call.server, reply.incarnation, reply.leaving, reply.load, now,
-                out);
+    note_server(call.server, reply.incarnation, reply.leaving, reply.load, now);
     auto missing = call.tasks;
     bool any_ok = false;
     bool any_bad = false;
@@ -666,7 +672,7 @@
         auto& forward = it->second;
         wire::span hop;
         hop.id = forward.spans.size() + 1;
-        hop.parent = forward.request.attempt;
+        hop.parent = 0; // below the span of the forward
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
@@ -758,6 +764,7 @@
     while (!due_.empty() && due_.begin()->first <= now)
         expire_forward(forward_key(due_.begin()->second), now, out);
     slots_.expire(now);
+    probe_leaving(now, out);
     const auto standing = standing_;
     for (const auto& name : standing)
         dispatch(name, now, out);
@@ -769,6 +776,30 @@
     }
 }
 
+// Asks the servers that are marked as leaving for their incarnation, each by
+// one call at a time and within the connection share.
+void leaf::probe_leaving(base::instant now, core::effects& out)
+{
+    if (now < next_probe_ || !probes_.empty())
+        return;
+    next_probe_ = now + probe_period;
+    for (const auto& [name, upstream] : fleet_.catalog().upstreams())
+    {
+        const auto part = fleet_.ownership().usable(name, now);
+        for (const auto& server : upstream.servers)
+        {
+            if (server.leaving || !fleet_.is_leaving(server.name) ||
+                slots_.used(server.name) >= part.connections)
+                continue;
+            const auto id = ++last_call_;
+            probes_.emplace(id, server.name);
+            out.emplace_back(core::http_call{core::call_owner::leaf, id,
+                                             server.address, encode_health(),
+                                             now + probe_period, false});
+        }
+    }
+}
+
 base::instant leaf::next_wakeup() const
 {
     auto out = slots_.next_expiry();
--- a/lib/query/upstream_codec.cpp
+++ b/lib/query/upstream_codec.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
 std::string dump(const nlohmann::json& value)
@@ -99,4 +100,32 @@
     return out;
 }
 
+wire::http_request encode_health()
+{
+    wire::http_request out;
+    out.method = "GET";
+    out.path = "/v1/health";
+    return out;
+}
+
+std::optional<upstream_health> decode_health(const wire::http_reply& reply)
+{
+    if (reply.status != status_ok)
+        return std::nullopt;
+    try
+    {
+        const auto in = nlohmann::json::parse(reply.body);
+        upstream_health out;
+        out.incarnation = in.at("incarnation").get<std::string>();
+        out.leaving = in.value("leaving", false);
+        if (in.contains("load"))
+            out.load = in.at("load").get<double>();
+        return out;
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
 } // namespace mimosacroft::query
--- a/unittests/query/leaf_fixture.hpp
+++ b/unittests/query/leaf_fixture.hpp
@@ -22,14 +22,14 @@
     model::upstream out;
     out.name = "u";
     out.data_centre = "oostende";
-    out.slots = 4;
+    out.slots = 2;
     for (std::size_t n = 0; n < servers; ++n)
         out.servers.push_back({"u-" + std::to_string(n),
                                "127.0.0.1:" + std::to_string(11 + n), false});
     return out;
 }
 
-/// An agent that owns half of the upstream, and its leaf.
+/// An agent that owns the upstream alone, and its leaf.
 struct leaf_rig
 {
     fleet::agent agent{options_of("vm-0", "oostende"), 1};
@@ -42,18 +42,23 @@
         : leaf(agent, options)
     {
         declare(agent, 1, {leaf_upstream(servers)});
-        know(agent, 1, {{"vm-0", "oostende"}, {"vm-1", "oostende"}});
+        know(agent, 1, {{"vm-0", "oostende"}});
         confirm();
     }
 
-    // A peer of the data centre holds the same list.
+    // The platform answers that the list in use is the newest.
     void confirm()
     {
-        wire::digest msg;
-        msg.ack = true;
-        msg.view_version = 1;
+        core::effects asked;
+        agent.on_tick(now, asked);
+        wire::http_reply reply;
+        reply.status = 200;
+        reply.body = R"({"version": 1, "vms": []})";
         core::effects ignored;
-        agent.on_digest("vm-1", 1, msg, now, ignored);
+        for (const auto& it : asked)
+            if (const auto* call = std::get_if<core::http_call>(&it))
+                agent.on_http_reply(call->id, reply, now, ignored);
+        agent.on_tick(now, ignored);
     }
 
     void forward(std::uint32_t attempt, std::size_t shards, int budget_ms = 300,
--- a/unittests/query/leaf_property_test.cpp
+++ b/unittests/query/leaf_property_test.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr std::uint32_t slot_share = 2;
-constexpr std::size_t connection_share = 25 / 3;
+constexpr std::size_t connection_share = 25 / 2;
 constexpr double budget_burst = 10;
 constexpr double budget_share = 0.05;
 
--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -368,3 +368,26 @@
     rig.leaf.on_forward("root", msg, {{0, "s0", "u"}}, rig.now, rig.out);
     LONGS_EQUAL(2, rig.leaf.open());
 }
+
+TEST(leaf, a_restarted_server_gets_work_again)
+{
+    rig.forward(1, 1);
+    const auto address = rig.sent.at(rig.work().at(0)).address;
+    rig.reply(rig.work().at(0),
+              {{"refused", "leaving"}, {"leaving", true}, {"incarnation", "i"}},
+              503);
+    rig.reply_ok(rig.work().at(0));
+    rig.tick(base::seconds(1));
+    const auto probes = rig.open("/v1/health");
+    LONGS_EQUAL(1, probes.size());
+    STRCMP_EQUAL(address.c_str(), rig.sent.at(probes[0]).address.c_str());
+    rig.reply(probes[0], {{"incarnation", "i"}, {"leaving", true}});
+    rig.tick(base::seconds(1));
+    rig.reply(rig.open("/v1/health").at(0),
+              {{"incarnation", "j"}, {"leaving", false}});
+    rig.tick(base::seconds(9)); // the slow start is over
+    LONGS_EQUAL(0, rig.open("/v1/health").size());
+    for (std::uint32_t n = 2; n <= 5; ++n)
+        rig.forward(n, 1, 300, false);
+    LONGS_EQUAL(4, rig.work().size());
+}
