--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -28,6 +28,8 @@
     // 300 to 399: work on upstreams.
     upstream_failed = 300,
     upstream_answer_refused = 301,
+    server_ejected = 310,
+    work_refused = 311,
     // 400 to 499: members, views and links.
     view_changed = 400,
     peer_lost = 401,
@@ -77,6 +79,8 @@
     {event_id::upstream_failed, severity::warning, "upstream_failed"},
     {event_id::upstream_answer_refused, severity::warning,
      "upstream_answer_refused"},
+    {event_id::server_ejected, severity::warning, "server_ejected"},
+    {event_id::work_refused, severity::warning, "work_refused"},
     {event_id::view_changed, severity::info, "view_changed"},
     {event_id::peer_lost, severity::warning, "peer_lost"},
     {event_id::link_refused, severity::warning, "link_refused"},
