--- a/fuzz/upstream_answers_fuzz.cpp
+++ b/fuzz/upstream_answers_fuzz.cpp
@@ -12,6 +12,7 @@
 {
     const std::string text(reinterpret_cast<const char*>(data), size);
     (void)query::decode_reply(text);
-    (void)query::refused_before_start({503, {}, text});
+    (void)query::decode_refusal({503, {}, text});
+    (void)query::decode_health({200, {}, text});
     return 0;
 }
--- a/unittests/daemon/decoders_test.cpp
+++ b/unittests/daemon/decoders_test.cpp
@@ -109,7 +109,8 @@
                    [](const std::string& text)
                    {
                        (void)query::decode_reply(text);
-                       (void)query::refused_before_start({503, {}, text});
+                       (void)query::decode_refusal({503, {}, text});
+                       (void)query::decode_health({200, {}, text});
                    }));
 }
 
