--- a/unittests/daemon/decoders_test.cpp
+++ b/unittests/daemon/decoders_test.cpp
@@ -110,6 +110,7 @@
                    {
                        (void)query::decode_reply(text);
                        (void)query::decode_refusal({503, {}, text});
+                       (void)query::decode_health({200, {}, text});
                    }));
 }
 
