Restart at a newer epoch, other owners and upstreams, true trace trees

Cause: a shard whose leaf or relay was lost was given up although another owner, relay or upstream could serve it; servers that held a newer epoch cost their shards; span ids were unique for their sender only; forwards were found by walks over all that are open. Ruled out: asking only the lacking shards at the newer epoch (mixes epochs), a further upstream after refusals (carries an overload on); docs/design/query.md.

--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -60,6 +60,7 @@
         bool maybe_run = false;
         std::uint32_t attempts = 0;
         std::set<std::string> tried; ///< servers that failed
+        bool ran = false;            ///< a failed attempt may have run
     };
 
     struct open_forward
--- a/include/mimosacroft/query/root.hpp
+++ b/include/mimosacroft/query/root.hpp
@@ -51,6 +51,9 @@
         base::instant started;
         base::instant deadline;
         std::uint64_t claim = 0; ///< 0 without an idempotency key
+        bool restarted = false;  ///< at a newer epoch
+        bool ran_before = false; ///< shards may have run before the restart
+        std::uint32_t extra_attempts = 0; ///< spent before the restart
     };
 
     struct open_query
@@ -77,9 +80,16 @@
                 core::effects& out);
     void close_claim(const admitted& query, search_answer answer,
                      base::instant now, core::effects& out);
-    std::vector<wire::shard_task> tasks_of(const model::search& search,
-                                           const model::index& index,
-                                           const search_request& request) const;
+    bool may_restart(const open_query& query, const scatter_result& result,
+                     base::instant now) const;
+    void restart(open_query& query, const scatter_result& result,
+                 base::instant now, core::effects& out);
+    wire::span span_of(const admitted& query, base::instant now) const;
+    static std::vector<std::size_t> shards_of(const model::search& search,
+                                              const model::index& index,
+                                              const search_request& request);
+    void add_task(const model::index& index, std::size_t position,
+                  scatter_job& job) const;
 
     const fleet::agent& fleet_;
     query::scatter& scatter_;
--- a/include/mimosacroft/query/scatter.hpp
+++ b/include/mimosacroft/query/scatter.hpp
@@ -24,7 +24,7 @@
     /// For each task the upstreams to go on with when its own cannot be
     /// reached, in order of preference; may be empty.
     std::vector<std::vector<std::string>> alternatives;
-    base::instant deadline;              ///< when the reports are due
+    base::instant deadline; ///< when the reports are due
 };
 
 /// One report for each task of the job, in the order of the tasks.
@@ -79,7 +79,7 @@
         scatter_job job;
         base::instant started;
         std::vector<open_task> tasks;
-        std::size_t missing = 0; ///< tasks without a report
+        std::size_t missing = 0;          ///< tasks without a report
         std::set<std::uint32_t> attempts; ///< its open forwards
         std::vector<wire::span> spans;
         std::uint64_t next_span = first_span_id;
@@ -123,7 +123,7 @@
     std::uint64_t last_job_ = 0;
     std::uint32_t last_attempt_ = 0;
     std::map<std::uint64_t, open_job> jobs_;
-    std::map<std::uint32_t, open_forward> forwards_; ///< by attempt
+    std::map<std::uint32_t, open_forward> forwards_;         ///< by attempt
     std::map<std::string, std::set<std::uint32_t>> sent_to_; ///< by VM
     std::map<std::string, base::instant> avoided_; ///< VMs, until when
     std::set<std::pair<base::instant, std::uint64_t>> deadlines_; ///< with job
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -206,6 +206,10 @@
         root_.on_claim_closed(claim);
     for (auto& answer : leaf_.take_answers())
     {
+        // The leaf's spans stand right below the span of its forward.
+        for (auto& it : answer.msg.spans)
+            if (it.parent == answer.msg.attempt)
+                it.parent = 0;
         send(answer.to, std::move(answer.msg), out);
         moved = true;
     }
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -60,7 +60,7 @@
     {
         upstreams.insert(task.upstream);
         waiting_[task.upstream].push_back({key, made.tasks.size()});
-        made.tasks.push_back({std::move(task), false, false, 0, {}});
+        made.tasks.push_back({std::move(task), false, false, 0, {}, false});
     }
     for (const auto& name : upstreams)
         dispatch(name, now, out);
@@ -302,7 +302,7 @@
             continue;
         wire::span hop;
         hop.id = it->second.spans.size() + 1;
-        hop.parent = 0; // below the span of the forward
+        hop.parent = it->second.request.attempt;
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
@@ -324,6 +324,7 @@
     if (!task)
         return;
     task->tried.insert(call.server);
+    task->ran = task->ran || maybe_run;
     const auto& request = forwards_.at(key.forward).request;
     const auto* upstream = fleet_.catalog().find_upstream(call.upstream);
     const bool another =
@@ -333,7 +334,7 @@
         waiting_[call.upstream].push_front(key);
         return;
     }
-    auto made = lacking(task->task.shard, reason, maybe_run);
+    auto made = lacking(task->task.shard, reason, task->ran);
     made.extra_attempts = task->attempts - 1;
     report(key, std::move(made));
 }
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -12,6 +12,19 @@
 /// A forward goes to a relay and from there to an owner, at most.
 constexpr std::uint8_t max_hops = 2;
 
+constexpr std::uint64_t root_span = first_span_id - 1;
+
+bool lacks_for_epoch(const wire::shard_report& it)
+{
+    return !it.included && it.lack == static_cast<std::uint8_t>(
+                                          model::lack_reason::wrong_epoch);
+}
+
+bool may_have_run(const wire::shard_report& it)
+{
+    return it.included || it.maybe_run;
+}
+
 // Selects a shard by a key; the same for every VM and library.
 std::size_t shard_of_key(const std::string& key, std::size_t shards)
 {
@@ -39,9 +52,21 @@
     answers_.push_back(std::move(out));
 }
 
-std::vector<wire::shard_task>
-root::tasks_of(const model::search& search, const model::index& index,
-               const search_request& request) const
+std::vector<std::size_t> root::shards_of(const model::search& search,
+                                         const model::index& index,
+                                         const search_request& request)
+{
+    const auto count = index.shards.size();
+    if (search.scope == model::scope::one)
+        return {shard_of_key(request.routing_key, count)};
+    std::vector<std::size_t> out(count);
+    std::ranges::generate(out, [n = std::size_t{0}]() mutable { return n++; });
+    return out;
+}
+
+// Adds a shard to a job: its upstream in this data centre before the others.
+void root::add_task(const model::index& index, std::size_t position,
+                    scatter_job& job) const
 {
     const auto& own = fleet_.options().data_centre;
     const auto is_near = [&](const std::string& name)
@@ -49,22 +74,13 @@
         const auto* it = fleet_.catalog().find_upstream(name);
         return it && it->data_centre == own;
     };
-    const auto task_of = [&](std::size_t n)
-    {
-        const auto& shard = index.shards[n];
-        const auto near = std::ranges::find_if(shard.upstreams, is_near);
-        return wire::shard_task{
-            static_cast<std::uint32_t>(n), shard.name,
-            near == shard.upstreams.end() ? shard.upstreams.front() : *near};
-    };
-    std::vector<wire::shard_task> out;
-    if (search.scope == model::scope::one)
-        out.push_back(
-            task_of(shard_of_key(request.routing_key, index.shards.size())));
-    else
-        for (std::size_t n = 0; n < index.shards.size(); ++n)
-            out.push_back(task_of(n));
-    return out;
+    const auto& shard = index.shards[position];
+    auto upstreams = shard.upstreams;
+    std::ranges::stable_partition(upstreams, is_near);
+    job.tasks.push_back(
+        {static_cast<std::uint32_t>(position), shard.name, upstreams.front()});
+    upstreams.erase(upstreams.begin());
+    job.alternatives.push_back(std::move(upstreams));
 }
 
 std::optional<std::string> root::problem_of(const search_request& request) const
@@ -167,7 +183,8 @@
     if (problem)
     {
         auto answer = blank_answer(query);
-        answer.outcome = model::outcome::not_run;
+        answer.outcome = query.ran_before ? model::outcome::unknown
+                                          : model::outcome::not_run;
         answer.error = *problem;
         return finish(query, std::move(answer), now, out);
     }
@@ -179,10 +196,11 @@
     made.answer.epoch = index->epoch;
     made.answer.least_coverage =
         request.least_coverage.value_or(search->least_coverage);
-    made.tasks = tasks_of(*search, *index, request);
 
     scatter_job job;
-    job.tasks = made.tasks;
+    for (const auto n : shards_of(*search, *index, request))
+        add_task(*index, n, job);
+    made.tasks = job.tasks;
     job.deadline = query.deadline;
     job.request.query = {fleet_.options().incarnation, ++last_query_};
     job.request.search = request.search;
@@ -190,6 +208,7 @@
     job.request.priority = static_cast<std::uint8_t>(request.priority);
     job.request.repeatable = search->repeatable;
     job.request.hops_left = max_hops;
+    job.request.parent_span = root_span;
     job.request.trace = request.trace;
     job.request.body = request.body;
     made.admitted = std::move(query);
@@ -206,6 +225,55 @@
     return out;
 }
 
+// Whether to run the whole query again at a newer epoch. The old answers are
+// given up: nothing is merged across epochs.
+bool root::may_restart(const open_query& query, const scatter_result& result,
+                       base::instant now) const
+{
+    const auto& it = query.admitted;
+    if (it.restarted || std::ranges::none_of(result.reports, lacks_for_epoch))
+        return false;
+    const bool most_is_left =
+        2 * (it.deadline - now) > it.deadline - it.started;
+    const auto* search = fleet_.catalog().find_search(it.request.search);
+    if (!most_is_left || !search || !search->repeatable)
+        return false;
+    const auto* index = fleet_.catalog().find_index(search->index);
+    return index && index->epoch > query.answer.epoch;
+}
+
+void root::restart(open_query& query, const scatter_result& result,
+                   base::instant now, core::effects& out)
+{
+    auto& again = query.admitted;
+    again.restarted = true;
+    again.ran_before = std::ranges::any_of(result.reports, may_have_run);
+    again.extra_attempts = static_cast<std::uint32_t>(result.reports.size());
+    for (const auto& it : result.reports)
+        again.extra_attempts += it.extra_attempts;
+    out.emplace_back(
+        core::log_event{core::event_id::query_restarted,
+                        {{"search", query.answer.search},
+                         {"epoch", std::to_string(query.answer.epoch)},
+                         {"trace", query.answer.trace}}});
+    run(std::move(again), now, out);
+}
+
+// The span of the whole query, above all others.
+wire::span root::span_of(const admitted& query, base::instant now) const
+{
+    wire::span out;
+    out.id = root_span;
+    out.name = "query";
+    out.vm = fleet_.options().vm;
+    out.length_us =
+        std::chrono::duration_cast<base::microseconds>(now - query.started)
+            .count();
+    if (query.restarted)
+        out.note = "restarted at a newer epoch";
+    return out;
+}
+
 bool root::on_scattered(scatter_result& result, base::instant now,
                         core::effects& out)
 {
@@ -213,7 +281,14 @@
     if (taken.empty())
         return false;
     auto& query = taken.mapped();
+    if (may_restart(query, result, now))
+    {
+        restart(query, result, now, out);
+        return true;
+    }
     auto& answer = query.answer;
+    const bool ran_before = query.admitted.ran_before;
+    answer.extra_attempts = query.admitted.extra_attempts;
     for (std::size_t n = 0; n < result.reports.size(); ++n)
     {
         auto& report = result.reports[n];
@@ -226,7 +301,7 @@
                 {name,
                  base::value_at<model::lack_reason>(report.lack)
                      .value_or(model::lack_reason::bad_answer),
-                 report.maybe_run});
+                 report.maybe_run || ran_before});
     }
     answer.outcome = decide_outcome(answer);
     answer.spans = std::move(result.spans);
@@ -243,6 +318,7 @@
                   base::instant now, core::effects& out)
 {
     answer.took = now - query.started;
+    answer.spans.insert(answer.spans.begin(), span_of(query, now));
     out.emplace_back(core::log_event{
         core::event_id::query_finished,
         {{"search", answer.search},
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -151,19 +151,19 @@
         {
             const auto lost = is_far(it) ? model::lack_reason::data_centre_lost
                                          : model::lack_reason::leaf_lost;
-            report(job, n,
-                   lacking(it.task.shard,
-                           it.tried.empty() ? model::lack_reason::no_server
-                                            : lost,
-                           false));
+            report(
+                job, n,
+                lacking(it.task.shard,
+                        it.tried.empty() ? model::lack_reason::no_server : lost,
+                        false));
             continue;
         }
         if (is_far(it))
         {
             const auto* upstream =
                 fleet_.catalog().find_upstream(it.task.upstream);
-            auto& relay = relays.try_emplace(upstream->data_centre, vm)
-                              .first->second;
+            auto& relay =
+                relays.try_emplace(upstream->data_centre, vm).first->second;
             if (!it.tried.contains(relay))
                 vm = relay;
         }
@@ -322,8 +322,8 @@
     const auto attempts = found->second;
     std::vector<open_forward> gone;
     for (const auto attempt : attempts)
-        gone.push_back(take_forward(
-            attempt, was_up ? "link lost" : "no link", now));
+        gone.push_back(
+            take_forward(attempt, was_up ? "link lost" : "no link", now));
     for (const auto& it : gone)
         lose_forward(it, was_up, now, out);
 }
--- a/unittests/query/scatter_test.cpp
+++ b/unittests/query/scatter_test.cpp
@@ -111,3 +111,84 @@
     LONGS_EQUAL(1, done.size());
     CHECK(done[0].reports[0].maybe_run);
 }
+
+TEST(scatter, goes_on_with_the_next_upstream_when_no_server_is_reached)
+{
+    declare(agent, 2,
+            {upstream_of("u", "antwerpen"), upstream_of("v", "gent")});
+    know(agent, 2,
+         {{"vm-0", "oostende"}, {"far", "antwerpen"}, {"other", "gent"}});
+    auto job = job_of(false);
+    job.alternatives = {{"v"}, {"v"}};
+    scatter.start(std::move(job), test_start, out);
+    out.clear();
+    auto msg = answer_of({0, 1});
+    const auto set_lack = [&](std::size_t n, bool maybe_run)
+    {
+        msg.shards[n].included = false;
+        msg.shards[n].maybe_run = maybe_run;
+        msg.shards[n].lack =
+            static_cast<std::uint8_t>(model::lack_reason::unreachable);
+    };
+    set_lack(0, false);
+    set_lack(1, true);
+    scatter.on_answer("far", msg, test_start, out);
+    // Shard 1 may have run and may not be repeated.
+    const auto* again = first_of<core::send_peer>(out);
+    STRCMP_EQUAL("other", again->vm.c_str());
+    const auto& shards = std::get<wire::forward>(again->msg).shards;
+    LONGS_EQUAL(1, shards.size());
+    LONGS_EQUAL(0, shards[0].shard);
+    STRCMP_EQUAL("v", shards[0].upstream.c_str());
+}
+
+TEST(scatter, a_lost_relay_is_replaced_by_another_and_then_reported)
+{
+    know(agent, 2,
+         {{"vm-0", "oostende"}, {"far", "antwerpen"}, {"far-2", "antwerpen"}});
+    scatter.start(job_of(true), test_start, out);
+    const auto first = first_of<core::send_peer>(out)->vm;
+    out.clear();
+    scatter.on_peer_lost(first, true, test_start, out);
+    const auto second = first_of<core::send_peer>(out)->vm;
+    CHECK(first != second);
+    scatter.on_peer_lost(second, false, test_start, out);
+    const auto done = scatter.take_finished();
+    LONGS_EQUAL(1, done.size());
+    const auto& it = done[0].reports[0];
+    LONGS_EQUAL(static_cast<int>(model::lack_reason::data_centre_lost),
+                it.lack);
+    // The first forward was written.
+    CHECK(it.maybe_run);
+    LONGS_EQUAL(2, done[0].spans.size());
+    STRCMP_EQUAL("link lost", done[0].spans[0].note.c_str());
+}
+
+TEST(scatter, avoids_a_vm_whose_link_failed_a_moment_ago)
+{
+    know(agent, 2,
+         {{"vm-0", "oostende"}, {"far", "antwerpen"}, {"far-2", "antwerpen"}});
+    scatter.on_peer_lost("far", false, test_start, out);
+    for (int n = 0; n < 20; ++n)
+        scatter.start(job_of(true), test_start, out);
+    for (const auto& it : out)
+        if (const auto* sent = std::get_if<core::send_peer>(&it))
+            STRCMP_EQUAL("far-2", sent->vm.c_str());
+}
+
+TEST(scatter, spans_of_an_answer_get_ids_of_their_own_below_their_forward)
+{
+    scatter.start(job_of(true), test_start, out);
+    auto msg = answer_of({0, 1});
+    msg.spans = {{2, 0, "forward", "far", "leaf", 0, 5, ""},
+                 {3, 2, "upstream", "leaf", "server", 1, 3, ""}};
+    scatter.on_answer("far", msg, test_start + milliseconds(9), out);
+    const auto spans = scatter.take_finished().at(0).spans;
+    LONGS_EQUAL(3, spans.size());
+    const auto& relay = spans[0];
+    const auto& upstream = spans[1];
+    const auto& forward = spans[2];
+    CHECK(relay.id != forward.id);
+    LONGS_EQUAL(forward.id, relay.parent);
+    LONGS_EQUAL(relay.id, upstream.parent);
+}
