--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -26,6 +26,13 @@
     return out;
 }
 
+// Whether a VM refused a shard before anything ran.
+bool is_refusal(const wire::shard_report& it)
+{
+    return !it.included && !it.maybe_run &&
+           it.lack == static_cast<std::uint8_t>(model::lack_reason::refused);
+}
+
 std::uint32_t budget_ms(base::instant deadline, base::instant now)
 {
     const auto left = base::to_ms(deadline - now - hop_margin);
@@ -98,8 +105,8 @@
     const auto& own = fleet_.options();
     auto targets = is_far(it) ? fleet_.view().members_of(upstream->data_centre)
                               : fleet_.view().owners_of(*upstream);
-    std::erase_if(targets, [&it](const std::string& vm)
-                  { return it.tried.contains(vm); });
+    std::erase_if(targets, [&](const std::string& vm)
+                  { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
         return {};
     if (std::ranges::find(targets, own.vm) != targets.end())
@@ -299,7 +306,12 @@
             drop("shard was not asked of this VM");
             continue;
         }
-        if (use_alternative(job, *at, shard))
+        if (fleet_.is_draining(from) && is_refusal(shard))
+        {
+            job.tasks[*at].tried.insert(from);
+            again.push_back(*at);
+        }
+        else if (use_alternative(job, *at, shard))
             again.push_back(*at);
         else
             report(job, *at, shard);
--- a/unittests/node/query_property_test.cpp
+++ b/unittests/node/query_property_test.cpp
@@ -484,8 +484,11 @@
 
 TEST(query_property, promises_hold_under_random_faults)
 {
+    std::map<model::outcome, int> outcomes;
+    int replayed = 0;
+    int restarted = 0;
     const bool ok = rc::check(
-        [](std::uint64_t seed)
+        [&](std::uint64_t seed)
         {
             std::mt19937_64 random(seed);
             world all(random());
@@ -511,6 +514,9 @@
                 const auto& got = asked.answers.front();
                 check_answer(asked, got);
                 check_spans(got);
+                ++outcomes[got.outcome];
+                replayed += got.replayed ? 1 : 0;
+                restarted += got.spans.front().note.empty() ? 0 : 1;
                 all_not_run.try_emplace(asked.body, true).first->second &=
                     got.outcome == model::outcome::not_run;
             }
@@ -523,4 +529,10 @@
             RC_ASSERT(all.late_answers() == 0);
         });
     CHECK(ok);
+    // The faults leave every kind of outcome to be checked.
+    for (const auto it : {model::outcome::answered, model::outcome::partial,
+                          model::outcome::not_run, model::outcome::unknown})
+        CHECK_TRUE(outcomes[it] > 10);
+    CHECK_TRUE(replayed > 10);
+    CHECK_TRUE(restarted > 10);
 }
