--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -5,6 +5,7 @@
 #define MIMOSACROFT_DAEMON_RUNTIME_HPP
 
 #include "mimosacroft/daemon/metrics.hpp"
+#include "mimosacroft/daemon/recent_answers.hpp"
 #include "mimosacroft/daemon/trace_store.hpp"
 #include "mimosacroft/net/http_client.hpp"
 #include "mimosacroft/net/loop.hpp"
@@ -76,6 +77,10 @@
         return http_.connections(address);
     }
 
+    const recent_answers& recent() const { return recent_; }
+    /// When the configuration that is in force came; never if none has.
+    base::instant config_changed() const { return config_changed_; }
+
     daemon::metrics& metrics() { return metrics_; }
     const daemon::trace_store& traces() const { return traces_; }
 
@@ -89,7 +94,9 @@
     void carry_out(const core::abandon_call& it);
     void carry_out(const core::log_event& it);
     void deliver_answers();
+    void note_status();
     void fail_search(std::uint64_t ticket, std::exception_ptr why);
+    void report_failure(const std::string& what);
     void arm_timer();
     void check_drained();
     void await_flush(base::instant due);
@@ -97,6 +104,9 @@
     net::loop loop_;
     daemon::metrics metrics_;
     daemon::trace_store traces_;
+    recent_answers recent_;
+    std::uint64_t config_version_ = 0; ///< as of config_changed_
+    base::instant config_changed_ = base::never;
     node::node node_;
     net::http_client http_;
     net::peer_transport peers_;
--- a/include/mimosacroft/daemon/settings.hpp
+++ b/include/mimosacroft/daemon/settings.hpp
@@ -83,6 +83,9 @@
 /// The text of --help.
 std::string help_of(const program& it);
 
+/// The program's part of docs/settings.md.
+std::string settings_page_of(const program& it);
+
 /// Handles --help, --version, --check-settings and wrong settings, which end
 /// the process; otherwise gives the settings.
 settings settings_or_exit(const program& it, int argc, const char* const* argv);
--- a/include/mimosacroft/net/loop.hpp
+++ b/include/mimosacroft/net/loop.hpp
@@ -5,9 +5,12 @@
 
 #include "mimosacroft/base/time.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace mimosacroft::net
 {
@@ -20,8 +23,8 @@
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
 
-    /// Runs until stop(). Timers use the monotonic clock. An exception of a
-    /// handler ends that handler only and is reported.
+    /// Runs until stop(), also once more after it. Timers use the monotonic
+    /// clock. An exception of a handler ends that handler only and is reported.
     void run();
 
     /// Where exceptions of handlers are reported. Before run().
@@ -33,8 +36,26 @@
     /// Runs `fn` on the loop's thread. May be called from any thread.
     void post(std::function<void()> fn);
 
+    /// Names a timer.
+    struct timer
+    {
+        base::instant due = base::never;
+        std::uint64_t number = 0; ///< 0 names none
+        friend bool operator<(const timer& a, const timer& b)
+        {
+            return std::tie(a.due, a.number) < std::tie(b.due, b.number);
+        }
+    };
+
     /// Runs `fn` once at `at`. Only from the loop's thread.
-    void at(base::instant at, std::function<void()> fn);
+    timer at(base::instant at, std::function<void()> fn);
+
+    /// Drops a timer; nothing happens if it has run. Only from the loop's
+    /// thread.
+    void cancel(const timer& it);
+
+    /// Timers that have not run.
+    std::size_t timers() const;
 
     /// The library's selector, for the adapters in this folder.
     void* selector();
--- a/include/mimosacroft/net/peer_transport.hpp
+++ b/include/mimosacroft/net/peer_transport.hpp
@@ -26,6 +26,10 @@
     std::size_t max_frame_bytes = 4 << 20;
     std::size_t max_queue_bytes = 16 << 20; ///< unsent, for each link
     base::milliseconds connect_timeout{1000};
+    /// After a link that never came up, the next one is tried no sooner; the
+    /// pause doubles with each failure in a row.
+    base::milliseconds least_retry_pause{50};
+    base::milliseconds most_retry_pause{1000};
 };
 
 /// What the transport reports, all on the loop's thread.
@@ -50,6 +54,7 @@
     std::uint64_t frames_sent = 0;
     std::uint64_t frames_received = 0;
     std::uint64_t links_refused = 0;
+    std::uint64_t links_tried = 0; ///< connects of this VM
 };
 
 class peer_transport
@@ -63,7 +68,7 @@
     peer_transport& operator=(const peer_transport&) = delete;
 
     /// Sends to a peer, opening the link if there is none. Failure shows later
-    /// through on_link_down.
+    /// through on_link_down, also when it is too soon to open one again.
     void send(const std::string& vm, const std::string& address,
               const wire::message& msg);
 
--- a/lib/daemon/caller_api.cpp
+++ b/lib/daemon/caller_api.cpp
@@ -46,6 +46,13 @@
     return base::to_hex(base::random_bytes(trace_id_bytes));
 }
 
+// The result of a shard. A kept trace has none.
+nlohmann::json value_of(const query::included_shard& it)
+{
+    auto out = nlohmann::json::parse(it.payload, nullptr, false);
+    return out.is_discarded() ? nlohmann::json() : out;
+}
+
 wire::http_reply refuse(runtime& rt, unsigned status, const std::string& why)
 {
     rt.metrics().add("mimosa_callers_refused_total");
@@ -130,9 +137,7 @@
 {
     auto results = nlohmann::json::array();
     for (const auto& it : answer.included)
-        results.push_back(
-            {{"shard", it.name},
-             {"result", nlohmann::json::parse(it.payload, nullptr, false)}});
+        results.push_back({{"shard", it.name}, {"result", value_of(it)}});
     auto lacking = nlohmann::json::array();
     for (const auto& it : answer.lacking)
         lacking.push_back({{"shard", it.name},
--- a/lib/daemon/operator_api.cpp
+++ b/lib/daemon/operator_api.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_method_not_allowed = 405;
+constexpr unsigned status_internal_error = 500;
 constexpr unsigned status_unavailable = 503;
 
 constexpr base::milliseconds platform_timeout{2000};
@@ -85,20 +86,36 @@
         });
 }
 
+// An error of the platform. `written` says whether a change was made: "no" or
+// "unknown".
+wire::http_reply platform_error(const std::string& written,
+                                const std::string& why)
+{
+    auto out = json_reply({{"error", why}, {"written", written}});
+    out.status = status_unavailable;
+    return out;
+}
+
 // Passes a request on to the platform and its reply back.
 wire::http_reply pass_on(runtime& rt, const operator_options& options,
                          wire::http_request request)
 {
+    const bool reads = request.method == "GET";
     const auto reply = rt.exchange(options.platform_address, std::move(request),
                                    platform_timeout);
-    if (reply)
+    if (reply && reply->status < status_internal_error)
         return *reply;
-    const bool unsent = reply.error().code == base::error_code::unreachable;
-    return refusal(status_unavailable,
-                   std::string(unsent ? "nothing was written: "
-                                      : "it is not known whether the change "
-                                        "was made, read it back: ") +
-                       base::to_string(reply.error()));
+    const auto why = reply ? "the platform answers with status " +
+                                 std::to_string(reply->status)
+                           : "the platform does not answer: " +
+                                 base::to_string(reply.error());
+    const bool unsent =
+        !reply && reply.error().code == base::error_code::unreachable;
+    if (reads || unsent)
+        return platform_error("no", why);
+    return platform_error("unknown", "it is not known whether the change was "
+                                     "made, read it back: " +
+                                         why);
 }
 
 wire::http_request platform_request(const wire::http_request& from,
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -4,6 +4,8 @@
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
 
+#include <optional>
+
 namespace mimosacroft::daemon
 {
 
@@ -18,6 +20,21 @@
 /// How often a draining VM looks whether it is idle.
 constexpr base::milliseconds drain_check{10};
 
+// The text of the exception that ends `fn`, if one does.
+template <typename Fn>
+std::optional<std::string> failure_of(const Fn& fn)
+{
+    try
+    {
+        fn();
+    }
+    catch (const std::exception& ex)
+    {
+        return ex.what();
+    }
+    return std::nullopt;
+}
+
 /// The longest wait for a peer that does not read what it was sent.
 constexpr base::milliseconds flush_limit{2000};
 
@@ -54,12 +71,7 @@
 
 void runtime::run()
 {
-    loop_.on_failure(
-        [this](const std::string& what)
-        {
-            carry_out(core::log_event{core::event_id::handler_failed,
-                                      {{"step", "loop"}, {"reason", what}}});
-        });
+    loop_.on_failure([this](const std::string& what) { report_failure(what); });
     loop_.post(
         [this]
         {
@@ -77,11 +89,21 @@
 void runtime::step(const std::function<void(base::instant, core::effects&)>& fn)
 {
     core::effects out;
-    fn(now(), out);
+    // What was decided before an exception is still carried out.
+    const auto failure = failure_of([&] { fn(now(), out); });
     for (auto& it : out)
         carry_out(it);
     deliver_answers();
+    note_status();
     arm_timer();
+    if (failure)
+        report_failure(*failure);
+}
+
+void runtime::report_failure(const std::string& what)
+{
+    carry_out(core::log_event{core::event_id::handler_failed,
+                              {{"step", "loop"}, {"reason", what}}});
 }
 
 void runtime::carry_out(core::effect& it)
@@ -135,6 +157,7 @@
         metrics_.observe("mimosa_query_seconds", base::to_seconds(answer.took));
         metrics_.observe("mimosa_query_coverage", query::coverage_of(answer));
         traces_.put(answer);
+        recent_.add(answer, now());
         const auto it = waiting_.find(answer.ticket);
         if (it == waiting_.end())
             continue;
@@ -143,6 +166,21 @@
     }
 }
 
+// Keeps the facts of the status page that have an age, and the gauges.
+void runtime::note_status()
+{
+    const auto version = node_.fleet().store().through();
+    if (version != config_version_)
+    {
+        config_version_ = version;
+        config_changed_ = now();
+        metrics_.set("mimosa_config_version", static_cast<double>(version));
+    }
+    metrics_.set("mimosa_platform_ok", node_.fleet().platform_ok() ? 1 : 0);
+    metrics_.set("mimosa_open_requests",
+                 static_cast<double>(node_.root().open()));
+}
+
 void runtime::arm_timer()
 {
     const auto due = node_.next_wakeup();
@@ -170,16 +208,19 @@
             request.ticket = ++last_ticket_;
             const auto ticket = request.ticket;
             waiting_.emplace(ticket, std::move(done));
-            try
-            {
-                step([&](base::instant t, core::effects& out)
-                     { node_.on_search(std::move(request), t, out); });
-            }
-            catch (...)
-            {
-                fail_search(ticket, std::current_exception());
-                throw;
-            }
+            step(
+                [&](base::instant t, core::effects& out)
+                {
+                    try
+                    {
+                        node_.on_search(std::move(request), t, out);
+                    }
+                    catch (...)
+                    {
+                        fail_search(ticket, std::current_exception());
+                        throw;
+                    }
+                });
         });
     return answer.get();
 }
--- a/lib/daemon/settings.cpp
+++ b/lib/daemon/settings.cpp
@@ -45,8 +45,10 @@
     switch (spec.kind)
     {
     case setting_kind::number:
-        return "a whole number from " + std::to_string(spec.least) + " to " +
-               std::to_string(spec.most);
+        return spec.most == UINT64_MAX
+                   ? "a whole number from " + std::to_string(spec.least)
+                   : "a whole number from " + std::to_string(spec.least) +
+                         " to " + std::to_string(spec.most);
     case setting_kind::address:
         return "ip:port";
     case setting_kind::flag:
@@ -54,7 +56,7 @@
     case setting_kind::text:
         break;
     }
-    return "a text that is not empty";
+    return spec.required ? "a text that is not empty" : "a text";
 }
 
 bool is_allowed(const setting_spec& spec, const std::string& text)
@@ -95,7 +97,8 @@
     cxxopts::Options out(it.name, it.summary);
     out.add_options()("help", "Print this help")("version",
                                                  "Print the version")(
-        "check-settings", "Print the effective settings and stop");
+        "check-settings", "Print the effective settings and stop")(
+        "settings-page", "Print the settings as docs/settings.md shows them");
     for (const auto& spec : it.specs)
     {
         auto value = cxxopts::value<std::string>();
@@ -198,6 +201,18 @@
     return options_of(it).help();
 }
 
+std::string settings_page_of(const program& it)
+{
+    std::string out = "## " + it.name + "\n\n" + it.summary +
+                      ".\n\n| flag | environment variable | default | allowed "
+                      "| meaning |\n| --- | --- | --- | --- | --- |\n";
+    for (const auto& spec : it.specs)
+        out += "| --" + spec.name + " | " + environment_name(spec.name) +
+               " | " + (spec.required ? "none, required" : spec.fallback) +
+               " | " + allowed_by(spec) + " | " + spec.help + " |\n";
+    return out;
+}
+
 settings settings_or_exit(const program& it, int argc, const char* const* argv)
 {
     const std::vector<std::string> args(argv + 1, argv + argc);
@@ -208,6 +223,11 @@
         std::cout << help_of(it);
         std::exit(EXIT_SUCCESS);
     }
+    if (given("--settings-page"))
+    {
+        std::cout << settings_page_of(it);
+        std::exit(EXIT_SUCCESS);
+    }
     if (given("--version"))
     {
         std::cout << it.name << " " << MIMOSA_VERSION << "\n";
--- a/lib/daemon/status_page.cpp
+++ b/lib/daemon/status_page.cpp
@@ -9,16 +9,32 @@
 namespace
 {
 
+/// A VM that was not heard for longer is named on the page.
+constexpr base::seconds silent_after{5};
+
 base::instant now()
 {
     return std::chrono::steady_clock::now();
 }
 
+std::string seconds(base::duration it)
+{
+    return std::to_string(base::to_ms(it) / 1000) + " s";
+}
+
 std::string age(base::instant at)
 {
-    if (at == base::never)
-        return "never";
-    return std::to_string(base::to_ms(now() - at) / 1000) + " s ago";
+    return at == base::never ? "never" : seconds(now() - at) + " ago";
+}
+
+std::string milliseconds(base::duration it)
+{
+    return std::to_string(base::to_ms(it)) + " ms";
+}
+
+std::string count(std::size_t n, const std::string& noun)
+{
+    return std::to_string(n) + " " + noun + (n == 1 ? "" : "s");
 }
 
 std::string platform_sentence(const fleet::agent& it)
@@ -28,8 +44,99 @@
     if (it.platform_ok())
         return "The platform answers; it was last heard " +
                age(it.platform_heard()) + ".";
-    return "The platform does not answer; it was last heard " +
-           age(it.platform_heard()) + ".";
+    return "The platform has not answered for " +
+           seconds(now() - it.platform_heard()) +
+           "; this VM goes on with the configuration that it has.";
+}
+
+std::string configuration_sentence(const runtime& rt)
+{
+    const auto version = rt.node().fleet().store().through();
+    if (version == 0)
+        return "It has no configuration yet, so it cannot serve.";
+    return "The configuration in force is version " + std::to_string(version) +
+           ", which came " + age(rt.config_changed()) + ".";
+}
+
+// How fast and how whole the answers of the last minute were.
+void write_answers(std::ostream& out, const recent_summary& it)
+{
+    if (it.answers == 0)
+    {
+        out << "It has answered nobody in the last minute.\n";
+        return;
+    }
+    out << "In the last " << seconds(it.covers) << " it gave "
+        << count(it.answers, "answer") << ", half of them within "
+        << milliseconds(it.median) << " and 99 of 100 within "
+        << milliseconds(it.p99) << ".\n";
+    for (const auto& [outcome, n] : it.outcomes)
+        if (outcome != model::outcome::answered)
+            out << "Of these, " << n << " ended as " << base::name_of(outcome)
+                << ".\n";
+    if (it.lacking.empty())
+        out << "Nothing was missing in them.\n";
+    for (const auto& [shard, n] : it.lacking)
+        out << "The shard " << shard << " was missing in " << n
+            << " of them.\n";
+    if (it.slowest.empty())
+        return;
+    out << "The slowest servers in them were";
+    for (const auto& server : it.slowest)
+        out << (&server == &it.slowest.front() ? " " : ", ") << server.server
+            << " (" << milliseconds(server.mean) << " on average)";
+    out << ".\n";
+}
+
+void write_leaving(std::ostream& out, const fleet::agent& it)
+{
+    for (const auto& [name, upstream] : it.catalog().upstreams())
+        for (const auto& server : upstream.servers)
+            if (server.leaving)
+                out << "The server " << server.name << " of " << name
+                    << " is leaving and gets no new work.\n";
+    for (const auto& vm : it.view().entries())
+        if (vm.leaving || it.is_draining(vm.vm))
+            out << "The entry VM " << vm.vm << " is leaving.\n";
+}
+
+void write_peers(std::ostream& out, const fleet::agent& it)
+{
+    out << "It knows " << count(it.view().entries().size(), "entry VM")
+        << ", itself included.\n";
+    for (const auto& vm : it.view().entries())
+    {
+        const auto peer = it.peers().find(vm.vm);
+        if (vm.vm == it.options().vm)
+            continue;
+        if (peer == it.peers().end())
+            out << "It has not heard from " << vm.vm << " yet.\n";
+        else if (now() - peer->second.heard > silent_after)
+            out << "It has not heard from " << vm.vm << " for "
+                << seconds(now() - peer->second.heard) << ".\n";
+        else if (peer->second.config_version < it.store().through())
+            out << vm.vm << " had version " << peer->second.config_version
+                << " of the configuration " << age(peer->second.heard) << ".\n";
+    }
+}
+
+nlohmann::json answers_json(const recent_summary& it)
+{
+    auto outcomes = nlohmann::json::object();
+    for (const auto& [outcome, n] : it.outcomes)
+        outcomes[std::string(base::name_of(outcome))] = n;
+    auto slowest = nlohmann::json::array();
+    for (const auto& server : it.slowest)
+        slowest.push_back({{"server", server.server},
+                           {"mean_ms", base::to_ms(server.mean)},
+                           {"calls", server.calls}});
+    return {{"answers", it.answers},
+            {"covers_ms", base::to_ms(it.covers)},
+            {"p50_ms", base::to_ms(it.median)},
+            {"p99_ms", base::to_ms(it.p99)},
+            {"outcomes", std::move(outcomes)},
+            {"lacking", it.lacking},
+            {"slowest_servers", std::move(slowest)}};
 }
 
 } // namespace
@@ -40,24 +147,25 @@
     const auto& fleet = node.fleet();
     const auto& catalog = fleet.catalog();
     std::ostringstream out;
-    out << "This is the entry VM " << fleet.options().vm << " in the data "
-        << "centre " << fleet.options().data_centre << ".\n"
-        << "It offers " << catalog.searches().size() << " searches over "
-        << catalog.indexes().size() << " indexes, served by "
-        << catalog.upstreams().size() << " upstreams.\n"
-        << "It is working on " << node.root().open()
-        << " requests of callers right now.\n"
-        << "The configuration in force is version " << fleet.store().through()
-        << ".\n"
-        << platform_sentence(fleet) << "\n"
-        << "It knows " << fleet.view().entries().size()
-        << " entry VMs, itself included.\n";
+    out << "This is the entry VM " << fleet.options().vm
+        << " in the data centre " << fleet.options().data_centre << ".\n";
+    if (node.draining())
+        out << "It is stopping: it finishes what it has and takes no new "
+               "work.\n";
+    out << "It offers " << catalog.searches().size() << " searches"
+        << " over the indexes of "
+        << count(catalog.upstreams().size(), "upstream") << ".\n"
+        << "It is working on " << count(node.root().open(), "request")
+        << " of callers right now.\n";
+    write_answers(out, rt.recent().summary(now()));
+    write_leaving(out, fleet);
+    out << configuration_sentence(rt) << "\n"
+        << platform_sentence(fleet) << "\n";
+    write_peers(out, fleet);
     for (const auto& [key, it] : fleet.store().refusals())
         out << "The " << key.first << " " << key.second << " in version "
             << it.version << " is not valid (" << it.reason
             << "); the last good one stays in force.\n";
-    if (node.draining())
-        out << "It is stopping: it takes no new requests.\n";
     return out.str();
 }
 
@@ -70,7 +178,8 @@
     {
         nlohmann::json row = {{"vm", it.vm},
                               {"data_centre", it.data_centre},
-                              {"leaving", it.leaving}};
+                              {"leaving", it.leaving},
+                              {"draining", fleet.is_draining(it.vm)}};
         const auto peer = fleet.peers().find(it.vm);
         if (it.vm == fleet.options().vm)
             row["config_version"] = fleet.store().through();
@@ -92,11 +201,14 @@
                           {"config_version", fleet.store().through()},
                           {"view_version", fleet.view().version()},
                           {"platform_ok", fleet.platform_ok()},
+                          {"recent", answers_json(rt.recent().summary(now()))},
                           {"open_requests", node.root().open()},
                           {"open_forwards", node.leaf().open()},
                           {"draining", node.draining()},
                           {"refused", std::move(refused)},
                           {"vms", std::move(vms)}};
+    if (fleet.store().through() > 0)
+        out["config_age_ms"] = base::to_ms(now() - rt.config_changed());
     if (fleet.platform_heard() != base::never)
         out["platform_heard_ms"] = base::to_ms(now() - fleet.platform_heard());
     return out;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "http_convert.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <cxxtools/connectable.h>
 #include <cxxtools/delegate.h>
 #include <cxxtools/http/client.h>
@@ -15,6 +16,7 @@
 #include <cxxtools/signal.h>
 #include <cxxtools/slot.h>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,14 @@
 using wire::http_reply;
 using wire::http_request;
 
+namespace
+{
+
+/// A reply that grows beyond this is given up.
+constexpr std::size_t max_reply_bytes = 16 << 20;
+
+} // namespace
+
 // One connection with at most one exchange on it.
 class connection : public cxxtools::Connectable
 {
@@ -49,6 +59,7 @@
         body_.clear();
         reused_ = std::exchange(used_, true);
         to_library(request, request_);
+        starting_ = true;
         try
         {
             client_.beginExecute(request_);
@@ -60,8 +71,18 @@
                                      : base::error_code::broken,
                               base::step::connect, address_, ex.what()));
         }
+        starting_ = false;
     }
 
+    /// Reports an end that came while start() ran.
+    void report_early_end()
+    {
+        if (auto early = std::exchange(early_, std::nullopt))
+            finish(std::move(*early));
+    }
+
+    bool ended_early() const { return early_.has_value(); }
+
     const std::string& address() const { return address_; }
     std::uint64_t call = 0;     ///< the exchange on it, 0 when idle
     base::instant idle_since{}; ///< meaningful when idle
@@ -75,6 +96,11 @@
         auto* in = client.in().rdbuf();
         for (auto left = in->in_avail(); left > 0; --left, ++n)
             body_ += static_cast<char>(in->sbumpc());
+        if (body_.size() > max_reply_bytes)
+            finish(base::fail(base::error_code::too_large, base::step::receive,
+                              address_,
+                              "reply is larger than " +
+                                  std::to_string(max_reply_bytes) + " bytes"));
         return n;
     }
 
@@ -94,6 +120,10 @@
             client.endExecute();
             auto reply = from_library(client.reply());
             reply.body = std::move(body_);
+            if (is_cut(reply))
+                return finish(base::fail(
+                    base::error_code::broken, base::step::receive, address_,
+                    "reply ended before its content-length"));
             finish(std::move(reply));
         }
         catch (const std::exception& ex)
@@ -108,8 +138,21 @@
         }
     }
 
+    static bool is_cut(const http_reply& reply)
+    {
+        const auto length = header_of(reply.headers, "content-length");
+        return !length.empty() &&
+               reply.body.size() < std::strtoull(length.c_str(), nullptr, 10);
+    }
+
+    // The caller of start() hears nothing before it has returned.
     void finish(base::result<http_reply> reply)
     {
+        if (starting_)
+        {
+            early_ = std::move(reply);
+            return;
+        }
         auto fn = std::exchange(fn_, nullptr);
         if (fn)
             fn(*this, std::move(reply));
@@ -119,7 +162,9 @@
     cxxtools::http::Client client_;
     cxxtools::http::Request request_;
     done fn_;
-    std::string body_;    ///< of the reply, as far as it has come
+    std::string body_; ///< of the reply, as far as it has come
+    std::optional<base::result<http_reply>> early_; ///< end during start()
+    bool starting_ = false;
     bool used_ = false;   ///< an exchange was started on it
     bool reused_ = false; ///< an earlier exchange went over it
     bool sent_ = false;   ///< a whole request was written
@@ -127,10 +172,18 @@
 
 struct http_client::impl
 {
+    /// A call that has not ended.
+    struct open_call
+    {
+        on_reply fn;
+        loop::timer deadline;
+        connection* conn = nullptr; ///< owned by connections; null before start
+    };
+
     loop& owner;
     std::uint64_t last_call = 0;
     std::multimap<std::string, std::unique_ptr<connection>> connections;
-    std::map<std::uint64_t, on_reply> waiting;
+    std::map<std::uint64_t, open_call> calls;
 
     explicit impl(loop& l) : owner(l) {}
 
@@ -169,27 +222,29 @@
         owner.post([keep] {});
     }
 
-    void finish(std::uint64_t call, base::result<http_reply> reply)
+    // Takes a call out; null once it has ended or was abandoned.
+    on_reply take(std::uint64_t call)
     {
-        const auto it = waiting.find(call);
-        if (it == waiting.end())
-            return;
-        const auto fn = std::move(it->second);
-        waiting.erase(it);
-        fn(std::move(reply));
+        const auto it = calls.find(call);
+        if (it == calls.end())
+            return nullptr;
+        auto out = std::move(it->second.fn);
+        owner.cancel(it->second.deadline);
+        calls.erase(it);
+        return out;
     }
 
-    connection* connection_of(std::uint64_t call)
+    void finish(std::uint64_t call, base::result<http_reply> reply)
     {
-        const auto it = std::find_if(connections.begin(), connections.end(),
-                                     [call](auto& item)
-                                     { return item.second->call == call; });
-        return it == connections.end() ? nullptr : it->second.get();
+        if (const auto fn = take(call))
+            fn(std::move(reply));
     }
 
     void on_done(connection& conn, std::uint64_t call,
                  base::result<http_reply> reply)
     {
+        if (conn.call != call)
+            return;
         const bool keep =
             reply && header_of(reply->headers, "connection") != "close";
         conn.call = 0;
@@ -198,15 +253,39 @@
         finish(call, std::move(reply));
     }
 
-    void on_deadline(std::uint64_t call, const std::string& address)
+    void give_up(std::uint64_t call)
     {
-        if (waiting.find(call) == waiting.end())
+        const auto it = calls.find(call);
+        if (it == calls.end() || !it->second.conn)
             return;
-        if (auto* conn = connection_of(call))
-            close(*conn);
+        it->second.conn->call = 0;
+        close(*it->second.conn);
+    }
+
+    void on_deadline(std::uint64_t call, const std::string& address)
+    {
+        give_up(call);
         finish(call, base::fail(base::error_code::timeout, base::step::wait,
                                 address, "no reply before the deadline"));
     }
+
+    void start(std::uint64_t call, connection& conn,
+               const http_request& request)
+    {
+        calls.at(call).conn = &conn;
+        conn.call = call;
+        conn.start(request, [this, call](connection& c, auto reply)
+                   { on_done(c, call, std::move(reply)); });
+        if (!conn.ended_early())
+            return;
+        owner.post(
+            [this, call]
+            {
+                const auto it = calls.find(call);
+                if (it != calls.end())
+                    it->second.conn->report_early_end();
+            });
+    }
 };
 
 http_client::http_client(loop& owner) : impl_(std::make_unique<impl>(owner)) {}
@@ -217,7 +296,10 @@
                                 call_options options, on_reply fn)
 {
     const auto call = ++impl_->last_call;
-    impl_->waiting.emplace(call, std::move(fn));
+    auto& made = impl_->calls[call];
+    made.fn = std::move(fn);
+    made.deadline = impl_->owner.at(options.deadline, [this, call, address]
+                                    { impl_->on_deadline(call, address); });
     auto* conn =
         options.fresh_connection ? nullptr : impl_->idle_connection(address);
     if (!conn)
@@ -231,19 +313,14 @@
         }
         conn = *opened;
     }
-    conn->call = call;
-    impl_->owner.at(options.deadline, [this, call, address]
-                    { impl_->on_deadline(call, address); });
-    conn->start(request, [this, call](connection& c, auto reply)
-                { impl_->on_done(c, call, std::move(reply)); });
+    impl_->start(call, *conn, request);
     return call;
 }
 
 void http_client::abandon(std::uint64_t call)
 {
-    impl_->waiting.erase(call);
-    if (auto* conn = impl_->connection_of(call))
-        impl_->close(*conn);
+    impl_->give_up(call);
+    impl_->take(call);
 }
 
 std::size_t http_client::connections(const std::string& address) const
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -54,17 +54,20 @@
     }
 
     void beginRequest(cxxtools::net::TcpSocket&, std::istream&,
-                      cxxtools::http::Request&) override
+                      cxxtools::http::Request& request) override
     {
         body_.clear();
+        left_ = request.header().contentLength();
         overflow_ = false;
     }
 
     std::size_t readBody(std::istream& in) override
     {
         std::size_t n = 0;
-        while (in.rdbuf()->in_avail() > 0)
+        // What follows the body belongs to the next request.
+        while (left_ > 0 && in.rdbuf()->in_avail() > 0)
         {
+            --left_;
             const char c = static_cast<char>(in.get());
             ++n;
             // The rest of a body that is too large is read and dropped, so that
@@ -123,6 +126,7 @@
 
     const service_context& context_;
     std::string body_;
+    std::size_t left_ = 0; ///< bytes of the body that are still to come
     bool overflow_ = false;
 };
 
--- a/lib/net/loop.cpp
+++ b/lib/net/loop.cpp
@@ -26,8 +26,9 @@
 {
     cxxtools::Selector selector;
     std::mutex mutex;
-    std::vector<std::function<void()>> posted; // guarded by mutex
-    std::multimap<base::instant, std::function<void()>> timers;
+    std::vector<std::function<void()>> posted;     // guarded by mutex
+    std::map<timer, std::function<void()>> timers; // by time
+    std::uint64_t last_timer = 0;
     std::atomic<bool> stopped{false};
     std::function<void(const std::string&)> on_failure;
 
@@ -54,7 +55,7 @@
     void run_due_timers()
     {
         const auto now = std::chrono::steady_clock::now();
-        while (!timers.empty() && timers.begin()->first <= now)
+        while (!timers.empty() && timers.begin()->first.due <= now)
         {
             auto node = timers.extract(timers.begin());
             guarded(node.mapped());
@@ -66,7 +67,7 @@
         if (timers.empty())
             return max_wait_ms;
         const auto left =
-            timers.begin()->first - std::chrono::steady_clock::now();
+            timers.begin()->first.due - std::chrono::steady_clock::now();
         // Rounded up, so that a timer is due when the wait ends.
         const auto ms = base::to_ms(left + base::microseconds(999));
         return static_cast<int>(std::clamp<long long>(ms, 0, max_wait_ms));
@@ -87,6 +88,7 @@
             break;
         impl_->guarded([this] { impl_->selector.wait(impl_->wait_ms()); });
     }
+    impl_->stopped = false;
 }
 
 void loop::on_failure(std::function<void(const std::string& what)> fn)
@@ -109,9 +111,21 @@
     impl_->selector.wake();
 }
 
-void loop::at(base::instant at, std::function<void()> fn)
+loop::timer loop::at(base::instant at, std::function<void()> fn)
 {
-    impl_->timers.emplace(at, std::move(fn));
+    const timer out{at, ++impl_->last_timer};
+    impl_->timers.emplace(out, std::move(fn));
+    return out;
+}
+
+void loop::cancel(const timer& it)
+{
+    impl_->timers.erase(it);
+}
+
+std::size_t loop::timers() const
+{
+    return impl_->timers.size();
 }
 
 void* loop::selector()
--- a/lib/net/peer_transport.cpp
+++ b/lib/net/peer_transport.cpp
@@ -15,6 +15,7 @@
 #include <cxxtools/signal.h>
 #include <cxxtools/slot.h>
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -28,6 +29,8 @@
 constexpr std::size_t nonce_bytes = 16;
 constexpr std::size_t read_bytes = 64 << 10;
 constexpr int listen_backlog = 256;
+/// A stranger may send no more than this before it has proved itself.
+constexpr std::size_t max_handshake_bytes = 4096;
 
 // Shared by all links of a transport.
 struct link_context
@@ -145,6 +148,9 @@
             if (n == 0)
                 return close();
             context_.counters.bytes_received += n;
+            if (!ready() && (before_proof_ += n) > max_handshake_bytes)
+                return refuse({base::error_code::too_large, base::step::receive,
+                               "", "handshake is larger than allowed"});
             decoder_.append({in_.data(), n});
             drain_frames();
             if (!closing_)
@@ -266,9 +272,17 @@
     std::string waiting_;      ///< frames that wait for sending_ to be written
     std::string sending_;      ///< the write that is under way
     std::size_t sent_ = 0;     ///< bytes of sending_ that are written
+    std::size_t before_proof_ = 0; ///< bytes received before ready()
     bool closing_ = false;
 };
 
+/// When a link that never came up may be tried again.
+struct retry_state
+{
+    base::milliseconds pause{0};
+    base::instant due{};
+};
+
 struct peer_transport::impl : public cxxtools::Connectable
 {
     loop& owner;
@@ -278,6 +292,8 @@
     cxxtools::net::TcpServer server;
     std::map<std::string, std::shared_ptr<peer_link>> outgoing; // by VM
     std::vector<std::shared_ptr<peer_link>> incoming;
+    std::map<std::string, retry_state> retries; // links that never came up
+    std::set<std::string> refused_sends;        // not reported yet
 
     impl(loop& l, peer_transport_options o, peer_handlers h)
         : owner(l), options(std::move(o)), handlers(std::move(h)),
@@ -326,6 +342,7 @@
     std::shared_ptr<peer_link> open(const std::string& vm,
                                     const std::string& address)
     {
+        ++counters.links_tried;
         auto link = std::make_shared<peer_link>(
             context(), wire::link_side::connecting,
             [this, vm](peer_link& gone) { drop_outgoing(vm, gone); });
@@ -342,11 +359,43 @@
         if (it == outgoing.end() || it->second.get() != &gone)
             return;
         const bool was_up = gone.ready();
+        if (was_up)
+            retries.erase(vm);
+        else
+            postpone(vm);
         owner.post([this, vm, was_up, keep = it->second]
                    { handlers.on_link_down(vm, was_up); });
         outgoing.erase(it);
     }
 
+    void postpone(const std::string& vm)
+    {
+        auto& it = retries[vm];
+        it.pause = std::clamp(2 * it.pause, options.least_retry_pause,
+                              options.most_retry_pause);
+        it.due = std::chrono::steady_clock::now() + it.pause;
+    }
+
+    bool too_soon(const std::string& vm) const
+    {
+        const auto it = retries.find(vm);
+        return it != retries.end() &&
+               std::chrono::steady_clock::now() < it->second.due;
+    }
+
+    // Reports once for all messages that are refused before the loop goes on.
+    void refuse_send(const std::string& vm)
+    {
+        if (!refused_sends.insert(vm).second)
+            return;
+        owner.post(
+            [this, vm]
+            {
+                refused_sends.erase(vm);
+                handlers.on_link_down(vm, false);
+            });
+    }
+
     void watch_handshake(const std::shared_ptr<peer_link>& link)
     {
         const auto due =
@@ -384,6 +433,8 @@
                           const wire::message& msg)
 {
     const auto it = impl_->outgoing.find(vm);
+    if (it == impl_->outgoing.end() && impl_->too_soon(vm))
+        return impl_->refuse_send(vm);
     const auto link =
         it == impl_->outgoing.end() ? impl_->open(vm, address) : it->second;
     link->send(msg);
--- a/standins/standin_upstream.cpp
+++ b/standins/standin_upstream.cpp
@@ -57,7 +57,9 @@
     bool leaving = false;           ///< announces it and refuses new work
     bool shedding = false;          ///< refuses before start
     std::string answer;             ///< "", rubbish, half, no_epoch,
-                                    ///< wrong_epoch, wrong_shard, twice
+                                    ///< wrong_epoch, wrong_shard, twice, and
+                                    ///< short or cut: a content-length too
+                                    ///< small or too large
     std::uint64_t oldest_epoch = 0; ///< epochs held, both ends included
     std::uint64_t newest_epoch = UINT64_MAX;
     double load = -1; ///< reported load; own when negative
@@ -183,6 +185,10 @@
             out.body = "\x01not an answer\xff";
         if (faults_.answer == "half")
             out.body.resize(out.body.size() / 2);
+        if (faults_.answer == "short")
+            out.headers["content-length"] = std::to_string(out.body.size() / 2);
+        if (faults_.answer == "cut")
+            out.headers["content-length"] = std::to_string(out.body.size() * 2);
         return out;
     }
 
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -25,6 +26,7 @@
 
 constexpr base::milliseconds call_timeout{5000};
 constexpr base::milliseconds poll_period{200};
+constexpr base::milliseconds read_back_limit{3000};
 
 const daemon::program this_program = {
     "mimosactl",
@@ -50,6 +52,10 @@
          .help = "apply --wait: longest wait",
          .least = 100,
          .most = 600'000},
+        {.name = "json",
+         .kind = setting_kind::flag,
+         .fallback = "false",
+         .help = "list, status, explain: print JSON in place of a table"},
     },
     "apply --file F | get KIND NAME | list [KIND] | watch | delete KIND NAME "
     "| status | explain TRACE"};
@@ -107,18 +113,56 @@
     return "/v1/resources/" + kind + "/" + name;
 }
 
-// Prints a reply's body, or complains.
-int show(const base::result<wire::http_reply>& reply)
+// The JSON of a reply with status 200; complains about any other.
+std::optional<json> body_of(const base::result<wire::http_reply>& reply)
 {
     if (!reply)
-        return complain(base::to_string(reply.error()));
-    if (reply->status != 200)
-        return complain(error_text(*reply));
-    const auto in = json::parse(reply->body, nullptr, false);
-    std::cout << (in.is_discarded() ? reply->body : in.dump(2)) << "\n";
+        complain(base::to_string(reply.error()));
+    else if (reply->status != 200)
+        complain(error_text(*reply));
+    else
+        return json::parse(reply->body, nullptr, false);
+    return std::nullopt;
+}
+
+int show(const std::optional<json>& value)
+{
+    if (!value)
+        return EXIT_FAILURE;
+    std::cout << value->dump(2) << "\n";
     return EXIT_SUCCESS;
 }
 
+// Prints rows with columns of equal width; the first row is the head.
+void print_table(const std::vector<std::vector<std::string>>& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto& row : rows)
+    {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t n = 0; n < row.size(); ++n)
+            widths[n] = std::max(widths[n], row[n].size());
+    }
+    for (const auto& row : rows)
+    {
+        std::string line;
+        for (std::size_t n = 0; n < row.size(); ++n)
+            line += row[n] + std::string(widths[n] + 2 - row[n].size(), ' ');
+        line.erase(line.find_last_not_of(' ') + 1);
+        std::cout << line << "\n";
+    }
+}
+
+// A resource as it is applied, with its version.
+json resource_of(const json& object)
+{
+    auto out = object.value("value", json::object());
+    if (!out.is_object())
+        out = {{"value", out}};
+    out["version"] = object.value("version", std::uint64_t{0});
+    return out;
+}
+
 // The files of a folder in order of name, or the file itself.
 std::vector<std::string> files_of(const std::string& path)
 {
@@ -132,8 +176,31 @@
     return out;
 }
 
+/// A resource of a file.
+struct file_resource
+{
+    model::declared declared;
+    /// The version that the file was made from, if it says one: the write is
+    /// refused when another one is current.
+    std::optional<std::uint64_t> version;
+};
+
+// Takes the field "version" out of a resource.
+base::result<std::optional<std::uint64_t>> take_version(json& value)
+{
+    if (!value.is_object() || !value.contains("version"))
+        return std::nullopt;
+    const auto it = value["version"];
+    if (!it.is_number_unsigned())
+        return base::fail(base::error_code::invalid, base::step::parse, "",
+                          "field version: found " + it.dump() +
+                              ", allowed is a whole number from 0");
+    value.erase("version");
+    return it.get<std::uint64_t>();
+}
+
 // The resources of a file: one object or a list of objects.
-base::result<std::vector<model::declared>> read_file(const std::string& path)
+base::result<std::vector<file_resource>> read_file(const std::string& path)
 {
     const auto refuse = [&path](const std::string& why)
     {
@@ -150,54 +217,134 @@
         return refuse("file is not valid JSON");
     if (!value.is_array())
         value = json::array({value});
-    std::vector<model::declared> out;
-    for (const auto& it : value)
+    std::vector<file_resource> out;
+    for (auto& it : value)
     {
+        const auto version = take_version(it);
+        if (!version)
+            return refuse(version.error().text);
         auto parsed = model::parse_resource(it.dump());
         if (!parsed)
             return refuse(parsed.error().text);
-        out.push_back(std::move(*parsed));
+        out.push_back({std::move(*parsed), *version});
     }
     return out;
 }
 
-// Writes one resource on top of the version that is read just before; a change
-// that comes between is shown and not overwritten. Gives the new version, or 0
-// when nothing had to change.
-base::result<std::uint64_t> apply_one(const client& to,
-                                      const model::declared& it)
+/// What the platform holds of a resource.
+struct current_state
 {
-    const std::string kind(base::name_of(it.kind));
-    const auto path = path_of(kind, it.name);
-    const auto refuse = [&path](std::string why)
-    {
-        return base::fail(base::error_code::conflict, base::step::apply, path,
-                          std::move(why));
-    };
-    const auto current = to.call("GET", path);
-    if (!current)
-        return tl::unexpected<base::error>(current.error());
-    const auto body = model::to_json(it.value);
-    std::uint64_t version = 0;
-    if (current->status == 200)
+    std::uint64_t version = 0; ///< 0 if it does not exist
+    json value;
+};
+
+tl::unexpected<base::error>
+apply_error(base::error_code code, const std::string& path, std::string why)
+{
+    return base::fail(code, base::step::apply, path, std::move(why));
+}
+
+base::result<current_state> read_current(const client& to,
+                                         const std::string& path)
+{
+    const auto reply = to.call("GET", path);
+    if (!reply)
+        return tl::unexpected<base::error>(reply.error());
+    if (reply->status == 404)
+        return current_state{};
+    const auto in = json::parse(reply->body, nullptr, false);
+    if (reply->status != 200 || !in.is_object())
+        return apply_error(base::error_code::unavailable, path,
+                           error_text(*reply));
+    return current_state{in.value("version", std::uint64_t{0}),
+                         in.value("value", json())};
+}
+
+std::string describe(const current_state& it)
+{
+    if (it.version == 0)
+        return "it is now deleted";
+    return "it is now version " + std::to_string(it.version) + ": " +
+           it.value.dump();
+}
+
+// Finds out what became of a write whose answer did not come. `wanted` is null
+// for a delete. Gives the version that holds what was wanted.
+base::result<std::uint64_t> read_back(const client& to, const std::string& path,
+                                      const json& wanted, std::uint64_t base,
+                                      const std::string& why)
+{
+    const auto due = std::chrono::steady_clock::now() + read_back_limit;
+    auto current = read_current(to, path);
+    while (!current && std::chrono::steady_clock::now() < due)
     {
-        const auto in = json::parse(current->body, nullptr, false);
-        version = in.value("version", std::uint64_t{0});
-        if (in.contains("value") && in["value"] == json::parse(body))
-            return 0;
+        std::this_thread::sleep_for(poll_period);
+        current = read_current(to, path);
     }
-    else if (current->status != 404)
-        return refuse(error_text(*current));
-    const auto reply = to.call("PUT", path, body, std::to_string(version));
-    if (!reply)
+    if (!current)
+        return apply_error(base::error_code::broken, path,
+                           "it is not known whether the change was made, read "
+                           "it back later; " +
+                               why);
+    if (current->value == wanted && current->version != base)
+        return current->version;
+    if (current->version == base)
+        return apply_error(base::error_code::broken, path,
+                           "the change was not made up to now; " + why);
+    return apply_error(base::error_code::conflict, path,
+                       "it is not known whether the change was made before "
+                       "another one; " +
+                           describe(*current) + "; " + why);
+}
+
+// Writes on top of a version, or deletes if `wanted` is null, and reads back
+// when the answer is lost. Nothing of another version is overwritten.
+base::result<std::uint64_t> write_on(const client& to, const std::string& path,
+                                     const json& wanted, std::uint64_t base)
+{
+    const bool remove = wanted.is_null();
+    const auto reply =
+        to.call(remove ? "DELETE" : "PUT", path, remove ? "" : wanted.dump(),
+                std::to_string(base));
+    if (!reply && reply.error().code == base::error_code::unreachable)
         return tl::unexpected<base::error>(reply.error());
+    if (!reply)
+        return read_back(to, path, wanted, base,
+                         base::to_string(reply.error()));
+    const auto in = json::parse(reply->body, nullptr, false);
+    if (reply->status == 200)
+        return in.value("version", std::uint64_t{0});
     if (reply->status == 409)
-        return refuse("somebody else changed it meanwhile, nothing was "
-                      "overwritten; it is now " +
-                      reply->body);
-    if (reply->status != 200)
-        return refuse(error_text(*reply));
-    return json::parse(reply->body).value("version", std::uint64_t{0});
+    {
+        const auto now = read_current(to, path);
+        return apply_error(
+            base::error_code::conflict, path,
+            "version " + std::to_string(base) +
+                " is not current any more, nothing was overwritten; " +
+                (now ? describe(*now) : "the current one cannot be read"));
+    }
+    if (reply->status >= 500 && in.value("written", "unknown") != "no")
+        return read_back(to, path, wanted, base, error_text(*reply));
+    return apply_error(base::error_code::invalid, path, error_text(*reply));
+}
+
+// Writes one resource on top of the version that its file names, or else of the
+// one that is read just before. Gives the new version, or 0 when nothing had to
+// change.
+base::result<std::uint64_t> apply_one(const client& to, const file_resource& it)
+{
+    const auto path =
+        path_of(std::string(base::name_of(it.declared.kind)), it.declared.name);
+    const auto current = read_current(to, path);
+    if (!current)
+        return apply_error(current.error().code, path,
+                           "nothing was written, the current version cannot be "
+                           "read; " +
+                               current.error().text);
+    const auto wanted = json::parse(model::to_json(it.declared.value));
+    if (current->version != 0 && current->value == wanted)
+        return 0;
+    return write_on(to, path, wanted, it.version.value_or(current->version));
 }
 
 // Waits until every VM that the server knows has the version in force.
@@ -236,7 +383,7 @@
 {
     if (s.text("file").empty())
         return usage("apply needs --file");
-    std::vector<model::declared> all;
+    std::vector<file_resource> all;
     for (const auto& path : files_of(s.text("file")))
     {
         auto some = read_file(path);
@@ -251,7 +398,7 @@
         const auto version = apply_one(to, it);
         if (!version)
             return complain(base::to_string(version.error()));
-        std::cout << base::name_of(it.kind) << " " << it.name
+        std::cout << base::name_of(it.declared.kind) << " " << it.declared.name
                   << (*version == 0
                           ? std::string(" unchanged")
                           : " applied, version " + std::to_string(*version))
@@ -265,15 +412,83 @@
 
 int remove(const client& to, const std::string& kind, const std::string& name)
 {
-    const auto current = to.call("GET", path_of(kind, name));
+    const auto path = path_of(kind, name);
+    const auto current = read_current(to, path);
     if (!current)
         return complain(base::to_string(current.error()));
-    if (current->status != 200)
-        return complain(error_text(*current));
-    const auto version =
-        json::parse(current->body).value("version", std::uint64_t{0});
-    return show(
-        to.call("DELETE", path_of(kind, name), "", std::to_string(version)));
+    if (current->version == 0)
+        return complain(kind + " " + name + " does not exist");
+    const auto done = write_on(to, path, json(), current->version);
+    if (!done)
+        return complain(base::to_string(done.error()));
+    std::cout << kind << " " << name << " deleted\n";
+    return EXIT_SUCCESS;
+}
+
+int get(const client& to, const std::string& kind, const std::string& name)
+{
+    const auto object = body_of(to.call("GET", path_of(kind, name)));
+    return show(object ? std::optional(resource_of(*object)) : std::nullopt);
+}
+
+int list(const client& to, const daemon::settings& s, const std::string& path)
+{
+    const auto in = body_of(to.call("GET", path));
+    if (!in || s.flag("json"))
+        return show(in);
+    std::vector<std::vector<std::string>> rows = {{"KIND", "NAME", "VERSION"}};
+    for (const auto& it : (*in)["items"])
+        rows.push_back({it.value("kind", ""), it.value("name", ""),
+                        std::to_string(it.value("version", std::uint64_t{0}))});
+    print_table(rows);
+    return EXIT_SUCCESS;
+}
+
+std::string seconds_of(std::int64_t ms)
+{
+    return std::to_string(ms / 1000) + "." + std::to_string(ms / 100 % 10) +
+           " s";
+}
+
+int status(const client& to, const daemon::settings& s)
+{
+    const auto in = body_of(to.call("GET", "/v1/status"));
+    if (!in || s.flag("json"))
+        return show(in);
+    const auto version = in->value("config_version", std::uint64_t{0});
+    std::cout << "seen from " << in->value("vm", "") << " in "
+              << in->value("data_centre", "") << ": version " << version
+              << ", the platform "
+              << (in->value("platform_ok", false) ? "answers"
+                                                  : "does not answer");
+    if (in->contains("platform_heard_ms"))
+        std::cout << ", heard "
+                  << seconds_of((*in)["platform_heard_ms"].get<std::int64_t>())
+                  << " ago";
+    std::cout << "\n";
+    std::vector<std::vector<std::string>> rows = {
+        {"VM", "DATA CENTRE", "VERSION", "HEARD", "NOTE"}};
+    for (const auto& it : (*in)["vms"])
+    {
+        const bool known = it.contains("config_version");
+        const auto has = it.value("config_version", std::uint64_t{0});
+        rows.push_back(
+            {it.value("vm", ""), it.value("data_centre", ""),
+             known ? std::to_string(has) : "unknown",
+             it.contains("heard_ms")
+                 ? seconds_of(it["heard_ms"].get<std::int64_t>()) + " ago"
+                 : "-",
+             it.value("leaving", false) ? "leaving"
+             : has < version            ? "lags"
+                                        : ""});
+    }
+    print_table(rows);
+    for (const auto& it : (*in)["refused"])
+        std::cout << "not valid, not in force: " << it.value("kind", "") << " "
+                  << it.value("name", "") << " version "
+                  << it.value("version", std::uint64_t{0}) << ": "
+                  << it.value("reason", "") << "\n";
+    return EXIT_SUCCESS;
 }
 
 // Prints changes as they come, until interrupted.
@@ -305,14 +520,13 @@
     }
 }
 
-int explain(const client& to, const std::string& trace)
+int explain(const client& to, const daemon::settings& s,
+            const std::string& trace)
 {
-    const auto reply = to.call("GET", "/v1/traces/" + trace);
-    if (!reply)
-        return complain(base::to_string(reply.error()));
-    if (reply->status != 200)
-        return complain(error_text(*reply));
-    const auto in = json::parse(reply->body);
+    const auto body = body_of(to.call("GET", "/v1/traces/" + trace));
+    if (!body || s.flag("json"))
+        return show(body);
+    const auto& in = *body;
     const auto& answer = in["answer"];
     std::cout << "search " << answer.value("search", "") << ", outcome "
               << answer.value("outcome", "") << ", epoch "
@@ -338,19 +552,19 @@
     if (is("apply", 0))
         return apply(to, s);
     if (is("get", 2))
-        return show(to.call("GET", path_of(args[1], args[2])));
+        return get(to, args[1], args[2]);
     if (is("list", 0))
-        return show(to.call("GET", "/v1/resources"));
+        return list(to, s, "/v1/resources");
     if (is("list", 1))
-        return show(to.call("GET", "/v1/resources/" + args[1]));
+        return list(to, s, "/v1/resources/" + args[1]);
     if (is("delete", 2))
         return remove(to, args[1], args[2]);
     if (is("watch", 0))
         return watch(to);
     if (is("status", 0))
-        return show(to.call("GET", "/v1/status"));
+        return status(to, s);
     if (is("explain", 1))
-        return explain(to, args[1]);
+        return explain(to, s, args[1]);
     return usage(args.empty() ? "a command is needed"
                               : "command " + args[0] +
                                     " is unknown or has the wrong arguments");
--- a/unittests/daemon/docs_test.cpp
+++ b/unittests/daemon/docs_test.cpp
@@ -1,5 +1,6 @@
 // Compares the pages with the code.
 #include "mimosacroft/core/events.hpp"
+#include "process_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
@@ -82,3 +83,19 @@
                        tests.contains((*m)[1].str()),
                    ("no such test: " + (*m)[1].str()).c_str());
 }
+
+TEST(docs, the_settings_page_shows_what_each_program_takes)
+{
+    const auto page = read(source_dir + "/docs/settings.md");
+    for (const std::string program : {"mimosad", "mimosactl", "mimosa-load",
+                                      "standin-upstream", "standin-platform"})
+    {
+        const std::string log = MIMOSA_BINARY_DIR "/test-settings-page.log";
+        tests::process it(program, {"--settings-page"}, log);
+        LONGS_EQUAL(0, it.wait());
+        CHECK_TEXT(
+            page.find(read(log)) != std::string::npos,
+            ("run scripts/settings-page, its settings differ: " + program)
+                .c_str());
+    }
+}
--- /dev/null
+++ b/unittests/daemon/operators_test.cpp
@@ -0,0 +1,229 @@
+// Operators who race each other, lose answers or meet an outage, with the real
+// command on real processes.
+#include "process_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <fstream>
+#include <sstream>
+
+using namespace mimosacroft;
+using namespace mimosacroft::tests;
+using nlohmann::json;
+
+namespace
+{
+
+std::string read(const std::string& path)
+{
+    std::ifstream in(path);
+    std::stringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+struct command_result
+{
+    int code;
+    std::string text;
+};
+
+} // namespace
+
+TEST_GROUP(operators){static fleet_plan plan_at(int offset){fleet_plan plan;
+plan.port = test_port(offset);
+plan.upstreams = 1;
+plan.shards = 2;
+return plan;
+}
+
+static std::string file_name(const process_fleet& fleet,
+                             const std::string& name)
+{
+    return std::string(MIMOSA_BINARY_DIR "/test-ctl-") +
+           fleet.platform().substr(10) + "-" + name;
+}
+
+// Runs mimosactl to its end.
+static command_result ctl(const process_fleet& fleet, int vm,
+                          std::vector<std::string> args,
+                          const std::string& tag = "0")
+{
+    args.insert(args.end(), {"--server", fleet.vm_http(vm), "--operator-token",
+                             "operator"});
+    const auto log = file_name(fleet, "out-" + tag);
+    process it("mimosactl", args, log);
+    const int code = it.wait();
+    return {code, read(log)};
+}
+
+static std::string
+write_search(const process_fleet& fleet, const std::string& tag,
+             int deadline_ms,
+             std::optional<std::uint64_t> version = std::nullopt)
+{
+    json out = {
+        {"kind", "search"},
+        {"name", "lookup"},
+        {"spec", {{"index", "all"}, {"default_deadline_ms", deadline_ms}}}};
+    if (version)
+        out["version"] = *version;
+    const auto path = file_name(fleet, tag + ".json");
+    std::ofstream(path) << out.dump();
+    return path;
+}
+
+static json get(const process_fleet& fleet)
+{
+    return json::parse(ctl(fleet, 0, {"get", "search", "lookup"}, "get").text,
+                       nullptr, false);
+}
+
+static int deadline(const process_fleet& fleet)
+{
+    return get(fleet)["spec"]["default_deadline_ms"].get<int>();
+}
+}
+;
+
+TEST(operators, of_two_applies_on_one_version_one_wins)
+{
+    const process_fleet fleet(plan_at(1700));
+    CHECK(fleet.serving());
+    const auto version = get(fleet)["version"].get<std::uint64_t>();
+    command_result results[2];
+    std::vector<std::thread> desks;
+    for (int n = 0; n < 2; ++n)
+        desks.emplace_back(
+            [&, n]
+            {
+                const auto tag = std::to_string(n);
+                const auto file = write_search(fleet, tag, 400 + n, version);
+                results[n] =
+                    ctl(fleet, n, {"apply", "--file", file}, "race" + tag);
+            });
+    for (auto& it : desks)
+        it.join();
+    LONGS_EQUAL(1, results[0].code + results[1].code);
+    const int winner = results[0].code == 0 ? 0 : 1;
+    LONGS_EQUAL(400 + winner, deadline(fleet));
+    STRCMP_CONTAINS("nothing was overwritten",
+                    results[1 - winner].text.c_str());
+    // The loser is shown the other's change.
+    STRCMP_CONTAINS(
+        ("\"default_deadline_ms\":" + std::to_string(400 + winner)).c_str(),
+        results[1 - winner].text.c_str());
+}
+
+TEST(operators, a_lost_answer_is_read_back)
+{
+    const process_fleet fleet(plan_at(1720));
+    CHECK(fleet.serving());
+    fleet.faults(fleet.platform(), {{"lose", 1}});
+    const auto it =
+        ctl(fleet, 0, {"apply", "--file", write_search(fleet, "lost", 450)});
+    LONGS_EQUAL(0, it.code);
+    STRCMP_CONTAINS("search lookup applied, version", it.text.c_str());
+    LONGS_EQUAL(450, deadline(fleet));
+    fleet.faults(fleet.platform(), {{"lose", 1}});
+    LONGS_EQUAL(0, ctl(fleet, 0, {"delete", "search", "booking"}).code);
+    CHECK(ctl(fleet, 0, {"get", "search", "booking"}).code != 0);
+}
+
+TEST(operators, an_apply_on_a_deleted_version_brings_nothing_back)
+{
+    const process_fleet fleet(plan_at(1740));
+    CHECK(fleet.serving());
+    const auto version = get(fleet)["version"].get<std::uint64_t>();
+    LONGS_EQUAL(0, ctl(fleet, 1, {"delete", "search", "lookup"}).code);
+    const auto it =
+        ctl(fleet, 0,
+            {"apply", "--file", write_search(fleet, "old", 450, version)});
+    LONGS_EQUAL(1, it.code);
+    STRCMP_CONTAINS("it is now deleted", it.text.c_str());
+    CHECK(ctl(fleet, 0, {"get", "search", "lookup"}).code != 0);
+}
+
+TEST(operators, an_outage_is_said_and_loses_nothing)
+{
+    const process_fleet fleet(plan_at(1760));
+    CHECK(fleet.serving());
+    const auto before = get(fleet);
+    fleet.faults(fleet.platform(), {{"down", true}});
+    const auto it =
+        ctl(fleet, 0, {"apply", "--file", write_search(fleet, "down", 450)});
+    LONGS_EQUAL(1, it.code);
+    STRCMP_CONTAINS("nothing was written", it.text.c_str());
+    STRCMP_EQUAL(
+        "answered",
+        fleet.search(0, "lookup", {{"query", 1}}).value("outcome", "").c_str());
+    fleet.faults(fleet.platform(), {{"down", false}});
+    CHECK(before == get(fleet));
+}
+
+TEST(operators, apply_wait_names_the_vm_that_lags)
+{
+    process_fleet fleet(plan_at(1780));
+    CHECK(fleet.serving());
+    fleet.vm_process(2).signal(SIGSTOP);
+    const auto late = ctl(fleet, 0,
+                          {"apply", "--wait", "--wait-ms", "5000", "--file",
+                           write_search(fleet, "wait", 450)});
+    fleet.vm_process(2).signal(SIGCONT);
+    LONGS_EQUAL(1, late.code);
+    STRCMP_CONTAINS("not in force yet on: oostende-2", late.text.c_str());
+    const auto it = ctl(fleet, 0,
+                        {"apply", "--wait", "--wait-ms", "20000", "--file",
+                         write_search(fleet, "wait", 460)});
+    LONGS_EQUAL(0, it.code);
+    STRCMP_CONTAINS("is in force on 3 of 3 VMs", it.text.c_str());
+}
+
+TEST(operators, an_invalid_object_behind_our_back_displaces_nothing)
+{
+    const process_fleet fleet(plan_at(1820));
+    CHECK(fleet.serving());
+    const auto version = get(fleet)["version"].get<std::uint64_t>();
+    const json bad = {
+        {"kind", "search"}, {"name", "lookup"}, {"spec", {{"index", 7}}}};
+    process_fleet::call(fleet.platform(), "PUT", "/v1/objects/search/lookup",
+                        bad.dump(), {{"if-match", std::to_string(version)}});
+    for (int n = 0; n < fleet.vm_count(); ++n)
+        CHECK(eventually(
+            [&]
+            {
+                return ctl(fleet, n, {"status"})
+                           .text.find(
+                               "not valid, not in force: search lookup") !=
+                       std::string::npos;
+            }));
+    for (int n = 0; n < fleet.vm_count(); ++n)
+        STRCMP_EQUAL("answered", fleet.search(n, "lookup", {{"query", 1}})
+                                     .value("outcome", "")
+                                     .c_str());
+    const auto page = process_fleet::call(fleet.vm_http(0), "GET", "/").body;
+    STRCMP_CONTAINS("is not valid", page.c_str());
+}
+
+TEST(operators, tables_and_errors_are_readable)
+{
+    const process_fleet fleet(plan_at(1840));
+    CHECK(fleet.serving());
+    const auto list = ctl(fleet, 0, {"list", "search"});
+    LONGS_EQUAL(0, list.code);
+    STRCMP_CONTAINS("KIND    NAME     VERSION", list.text.c_str());
+    STRCMP_CONTAINS("search  lookup", list.text.c_str());
+    STRCMP_CONTAINS("VM          DATA CENTRE",
+                    ctl(fleet, 0, {"status"}).text.c_str());
+    CHECK(json::parse(ctl(fleet, 0, {"status", "--json"}).text, nullptr, false)
+              .contains("vms"));
+    const auto trace =
+        fleet.search(0, "lookup", {{"query", 1}})["trace"].get<std::string>();
+    STRCMP_CONTAINS("outcome answered",
+                    ctl(fleet, 0, {"explain", trace}).text.c_str());
+    const auto path = file_name(fleet, "bad.json");
+    std::ofstream(path) << R"({"kind":"search","name":"x","spec":{"index":7}})";
+    const auto bad = ctl(fleet, 0, {"apply", "--file", path});
+    LONGS_EQUAL(1, bad.code);
+    STRCMP_CONTAINS("spec.index: found 7, allowed is", bad.text.c_str());
+    LONGS_EQUAL(2, ctl(fleet, 0, {"aply"}).code);
+}
--- /dev/null
+++ b/unittests/net/http_client_test.cpp
@@ -0,0 +1,150 @@
+// Tests of the HTTP client against servers that misbehave, on real sockets.
+#include "mimosacroft/net/http_client.hpp"
+#include "raw_server.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <functional>
+#include <optional>
+
+using namespace mimosacroft;
+using namespace mimosacroft::tests;
+
+namespace
+{
+
+using reply_result = base::result<wire::http_reply>;
+
+base::instant in_ms(int n)
+{
+    return std::chrono::steady_clock::now() + base::milliseconds(n);
+}
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+    net::loop loop;
+    net::http_client client{loop};
+
+    // Runs the loop until one call has ended.
+    reply_result call(const std::string& address, int deadline_ms = 5000)
+    {
+        std::optional<reply_result> out;
+        const auto done = [&](reply_result it)
+        {
+            out = std::move(it);
+            loop.post([this] { loop.stop(); });
+        };
+        loop.post(
+            [&]
+            {
+                client.call(address, {"GET", "/", "", {}, ""},
+                            {in_ms(deadline_ms), false}, done);
+                // The reply never comes before call() has returned.
+                CHECK_FALSE(out.has_value());
+            });
+        loop.run();
+        return std::move(*out);
+    }
+
+    // An error's code; fails on a reply.
+    base::error_code code(const reply_result& it)
+    {
+        CHECK_FALSE(it.has_value());
+        return it ? base::error_code::invalid : it.error().code;
+    }
+};
+
+TEST(http_client, nothing_listens)
+{
+    std::string address;
+    {
+        const raw_server gone("", after_reply::close);
+        address = gone.address();
+    }
+    CHECK(code(call(address)) == base::error_code::unreachable);
+    LONGS_EQUAL(0, client.connections(address));
+    LONGS_EQUAL(0, loop.timers());
+}
+
+TEST(http_client, an_address_without_port_is_an_error_of_the_call)
+{
+    CHECK(code(call("nowhere")) == base::error_code::invalid);
+    LONGS_EQUAL(0, loop.timers());
+}
+
+TEST(http_client, a_reply_leaves_no_timer_and_a_kept_connection)
+{
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                            after_reply::keep);
+    const auto it = call(server.address());
+    CHECK(it.has_value());
+    STRCMP_EQUAL("ok", it->body.c_str());
+    LONGS_EQUAL(1, client.connections(server.address()));
+    LONGS_EQUAL(0, loop.timers());
+}
+
+TEST(http_client, rubbish_in_place_of_a_reply)
+{
+    const raw_server server("\x01\x02 not http \xff\r\n\r\n",
+                            after_reply::close);
+    CHECK(code(call(server.address())) == base::error_code::broken);
+    LONGS_EQUAL(0, client.connections(server.address()));
+}
+
+TEST(http_client, half_a_reply)
+{
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal",
+                            after_reply::close);
+    CHECK(code(call(server.address())) == base::error_code::broken);
+    LONGS_EQUAL(0, client.connections(server.address()));
+}
+
+TEST(http_client, bytes_after_a_reply_are_not_the_next_one)
+{
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+                            after_reply::keep);
+    const auto it = call(server.address());
+    CHECK(it.has_value());
+    STRCMP_EQUAL("ok", it->body.c_str());
+    // Not the bytes that came unasked.
+    CHECK(code(call(server.address(), 100)) == base::error_code::timeout);
+}
+
+TEST(http_client, a_server_that_never_answers)
+{
+    const raw_server server("", after_reply::keep);
+    CHECK(code(call(server.address(), 50)) == base::error_code::timeout);
+    LONGS_EQUAL(0, client.connections(server.address()));
+    LONGS_EQUAL(0, loop.timers());
+}
+
+TEST(http_client, an_abandoned_call_is_closed_and_never_heard)
+{
+    const raw_server server("", after_reply::keep);
+    bool heard = false;
+    loop.post(
+        [&]
+        {
+            const auto id = client.call(
+                server.address(), {"GET", "/", "", {}, ""}, {in_ms(30), false},
+                [&heard](auto&&) { heard = true; });
+            loop.at(in_ms(10), [&, id] { client.abandon(id); });
+            loop.at(in_ms(60), [&] { loop.stop(); });
+        });
+    loop.run();
+    CHECK_FALSE(heard);
+    LONGS_EQUAL(0, client.connections(server.address()));
+    LONGS_EQUAL(0, loop.timers());
+}
+
+TEST(http_client, an_exception_in_a_handler_does_not_end_the_loop)
+{
+    std::string failure;
+    loop.on_failure([&failure](const std::string& what) { failure = what; });
+    loop.post([] { throw std::runtime_error("handler"); });
+    loop.post([this] { loop.stop(); });
+    loop.run();
+    STRCMP_EQUAL("handler", failure.c_str());
+}
