--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -7,9 +7,9 @@
 namespace mimosacroft::node
 {
 
-node::node(fleet::agent_options options, std::uint64_t seed)
-    : fleet_(std::move(options), seed), scatter_(fleet_, seed + 1),
-      root_(fleet_, scatter_), leaf_(fleet_)
+node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
+    : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
+      root_(fleet_, scatter_), leaf_(fleet_, options.leaf)
 {
 }
 
@@ -40,14 +40,10 @@
         scatter_.on_answer(from, *a, now, out);
     else if (const auto* c = std::get_if<wire::cancel>(&msg))
         on_cancel(from, *c, now, out);
-    else if (const auto* d = std::get_if<wire::digest>(&msg))
-        fleet_.on_digest(from, incarnation, *d, now, out);
-    else if (const auto* p = std::get_if<wire::config_push>(&msg))
-        fleet_.on_config(*p, now, out);
-    else if (const auto* v = std::get_if<wire::view_push>(&msg))
-        fleet_.on_view(*v, now, out);
     else if (const auto* n = std::get_if<wire::drain_notice>(&msg))
         on_drain_notice(from, *n, out);
+    else
+        fleet_.on_message(from, incarnation, msg, now, out);
     settle(now, out);
 }
 
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -14,6 +14,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <future>
+#include <regex>
+#include <sstream>
 #include <thread>
 
 namespace
@@ -44,6 +46,9 @@
          .kind = setting_kind::address,
          .help = "address of the platform's object API",
          .required = true},
+        {.name = "seeds",
+         .help = "VMs to ask while the platform is away: "
+                 "id,data-centre,peer-address;..."},
         {.name = "peer-secret",
          .help = "secret shared by the fleet",
          .required = true,
@@ -81,6 +86,22 @@
          .help = "from gaining an upstream to using it",
          .least = 0,
          .most = 120'000},
+        {.name = "hedging",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "sends a second request to another replica when one is slow"},
+        {.name = "replica-choice",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "chooses replicas by latency and load"},
+        {.name = "ejection",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "keeps servers that fail again and again out for a while"},
+        {.name = "priorities",
+         .kind = setting_kind::flag,
+         .fallback = "true",
+         .help = "serves urgent requests and early deadlines first"},
         {.name = "drain-grace-ms",
          .kind = setting_kind::number,
          .fallback = "2000",
@@ -193,6 +214,24 @@
     return daemon::refusal(404, "nothing is at the path " + path);
 }
 
+// Rows "id,data-centre,address" with ";" between; throws on another form.
+std::vector<wire::view_entry> seeds_of(const std::string& text)
+{
+    static const std::regex form(R"(([^,;]+),([^,;]+),([^,;]+:\d+))");
+    std::vector<wire::view_entry> out;
+    std::istringstream rows(text);
+    for (std::string row; std::getline(rows, row, ';');)
+    {
+        std::smatch parts;
+        if (!std::regex_match(row, parts, form))
+            throw std::runtime_error("setting seeds: \"" + row +
+                                     "\" is not of the form "
+                                     "id,data-centre,ip:port");
+        out.push_back({parts[1], parts[2], parts[3], false});
+    }
+    return out;
+}
+
 fleet::agent_options agent_options_of(const daemon::settings& s,
                                       std::uint64_t incarnation)
 {
@@ -201,12 +240,24 @@
     out.data_centre = s.text("data-centre");
     out.incarnation = incarnation;
     out.platform_address = s.text("platform-address");
+    out.peer_address = s.text("peer-address");
+    out.seeds = seeds_of(s.text("seeds"));
     out.ownership.view_ttl = base::milliseconds(s.number("view-ttl-ms"));
     out.ownership.handover_wait =
         base::milliseconds(s.number("handover-wait-ms"));
     return out;
 }
 
+node::node_options node_options_of(const daemon::settings& s)
+{
+    node::node_options out;
+    out.leaf.hedging = s.flag("hedging");
+    out.leaf.replica_choice = s.flag("replica-choice");
+    out.leaf.ejection = s.flag("ejection");
+    out.leaf.priorities = s.flag("priorities");
+    return out;
+}
+
 net::peer_transport_options peer_options_of(const daemon::settings& s,
                                             std::uint64_t incarnation)
 {
@@ -250,7 +301,7 @@
     const auto signals = daemon::block_stop_signals();
     const auto incarnation = base::random_u64();
     daemon::runtime rt(agent_options_of(s, incarnation),
-                       peer_options_of(s, incarnation));
+                       peer_options_of(s, incarnation), node_options_of(s));
     const daemon::operator_options operators{s.text("operator-token-sha256"),
                                              s.text("platform-address")};
     front_door door;
