--- a/lib/daemon/status_page.cpp
+++ b/lib/daemon/status_page.cpp
@@ -1,6 +1,7 @@
 // What this VM is doing.
 #include "mimosacroft/daemon/status_page.hpp"
 
+#include <algorithm>
 #include <sstream>
 
 namespace mimosacroft::daemon
@@ -58,6 +59,21 @@
            ", which came " + age(rt.config_changed()) + ".";
 }
 
+void write_lacking(std::ostream& out,
+                   const std::map<std::string, std::size_t>& lacking)
+{
+    if (lacking.empty())
+    {
+        out << "Nothing was missing in them.\n";
+        return;
+    }
+    const auto most = std::ranges::max_element(lacking, {}, [](const auto& it)
+                                               { return it.second; });
+    out << count(lacking.size(), "shard")
+        << " were missing in some of them, most often " << most->first
+        << " (in " << most->second << ").\n";
+}
+
 // How fast and how whole the answers of the last minute were.
 void write_answers(std::ostream& out, const recent_summary& it)
 {
@@ -74,11 +90,7 @@
         if (outcome != model::outcome::answered)
             out << "Of these, " << n << " ended as " << base::name_of(outcome)
                 << ".\n";
-    if (it.lacking.empty())
-        out << "Nothing was missing in them.\n";
-    for (const auto& [shard, n] : it.lacking)
-        out << "The shard " << shard << " was missing in " << n
-            << " of them.\n";
+    write_lacking(out, it.lacking);
     if (it.slowest.empty())
         return;
     out << "The slowest servers in them were";
