--- a/lib/daemon/caller_api.cpp
+++ b/lib/daemon/caller_api.cpp
@@ -5,6 +5,7 @@
 #include "mimosacroft/daemon/event_log.hpp"
 #include "mimosacroft/model/object_reader.hpp"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 namespace mimosacroft::daemon
@@ -53,6 +54,12 @@
     return out.is_discarded() ? nlohmann::json() : out;
 }
 
+std::int64_t seconds_since_1970()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<base::seconds>(now).count();
+}
+
 wire::http_reply refuse(runtime& rt, unsigned status, const std::string& why)
 {
     rt.metrics().add("mimosa_callers_refused_total");
@@ -192,6 +199,8 @@
     parsed->search = name;
     parsed->priority = rule->priority;
     parsed->trace = trace_id(request);
+    parsed->caller = rule->name;
+    parsed->received_s = seconds_since_1970();
     const auto answer = rt.search(std::move(*parsed));
     wire::http_reply out;
     out.status = status_of(answer);
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/query/scatter.hpp"
 
 #include <algorithm>
+#include <cassert>
 
 namespace mimosacroft::query
 {
@@ -12,6 +13,9 @@
 /// Kept back from the receiver's time, for its answer's way home.
 constexpr base::milliseconds hop_margin{5};
 
+/// A VM whose link failed gets no forward for this long if another can take it.
+constexpr base::milliseconds avoid_time{1000};
+
 wire::shard_report lacking(std::uint32_t shard, model::lack_reason reason,
                            bool maybe_run)
 {
@@ -35,6 +39,24 @@
     return static_cast<std::uint32_t>(std::max<long long>(left, 0));
 }
 
+std::int64_t to_us(base::duration d)
+{
+    return std::chrono::duration_cast<base::microseconds>(d).count();
+}
+
+// Whether another upstream of the shard may be asked after this report: only
+// when no server of the first one did or refused the work, so that this adds
+// no load.
+bool allows_alternative(const wire::shard_report& it)
+{
+    using model::lack_reason;
+    const auto reason = base::value_at<lack_reason>(it.lack);
+    return !it.included && (reason == lack_reason::no_server ||
+                            reason == lack_reason::unreachable ||
+                            reason == lack_reason::leaf_lost ||
+                            reason == lack_reason::data_centre_lost);
+}
+
 } // namespace
 
 scatter::scatter(const fleet::agent& fleet, std::uint64_t seed)
@@ -49,8 +71,14 @@
     auto& made = jobs_[id];
     made.started = now;
     made.missing = job.tasks.size();
-    for (const auto& it : job.tasks)
-        made.tasks.push_back({it, {}, false, false, {}});
+    job.alternatives.resize(job.tasks.size());
+    for (std::size_t n = 0; n < job.tasks.size(); ++n)
+        made.tasks.push_back({job.tasks[n],
+                              {},
+                              false,
+                              false,
+                              {},
+                              std::move(job.alternatives[n])});
     made.job = std::move(job);
     deadlines_.emplace(made.job.deadline, id);
 
@@ -62,30 +90,56 @@
     return id;
 }
 
+bool scatter::is_far(const open_task& it) const
+{
+    const auto* upstream = fleet_.catalog().find_upstream(it.task.upstream);
+    return upstream && upstream->data_centre != fleet_.options().data_centre;
+}
+
 // The VM to send a task to; empty if there is none.
-std::string scatter::route(const open_task& it)
+std::string scatter::route(const open_task& it, base::instant now)
 {
     const auto* upstream = fleet_.catalog().find_upstream(it.task.upstream);
     if (!upstream)
         return {};
     const auto& own = fleet_.options();
-    const bool near = upstream->data_centre == own.data_centre;
-    auto targets = near ? fleet_.view().owners_of(*upstream)
-                        : fleet_.view().members_of(upstream->data_centre);
+    auto targets = is_far(it) ? fleet_.view().members_of(upstream->data_centre)
+                              : fleet_.view().owners_of(*upstream);
     std::erase_if(targets, [&](const std::string& vm)
                   { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
         return {};
     if (std::ranges::find(targets, own.vm) != targets.end())
         return own.vm;
+    const auto avoided = [&](const std::string& vm)
+    {
+        const auto found = avoided_.find(vm);
+        return found != avoided_.end() && found->second > now;
+    };
+    if (!std::ranges::all_of(targets, avoided))
+        std::erase_if(targets, avoided);
     return targets[random_() % targets.size()];
 }
 
+// As route(), and goes on to the next upstream of the shard when there is none.
+std::string scatter::reroute(open_task& it, base::instant now)
+{
+    auto vm = route(it, now);
+    while (vm.empty() && !it.alternatives.empty())
+    {
+        it.task.upstream = it.alternatives.front();
+        it.alternatives.erase(it.alternatives.begin());
+        vm = route(it, now);
+    }
+    return vm;
+}
+
 void scatter::dispatch(std::uint64_t id,
                        const std::vector<std::size_t>& positions,
                        base::instant now, core::effects& out)
 {
     auto& job = jobs_.at(id);
+    const bool late = budget_ms(job.job.deadline, now) == 0;
     // One relay for each far data centre, so that the costly link carries one
     // message; near ones go to their owners.
     std::map<std::string, std::string> relays;
@@ -93,25 +147,34 @@
     for (const auto n : positions)
     {
         auto& it = job.tasks[n];
-        const auto* upstream = fleet_.catalog().find_upstream(it.task.upstream);
-        std::string vm;
-        if (upstream && upstream->data_centre != fleet_.options().data_centre)
+        if (late)
         {
-            auto& relay = relays[upstream->data_centre];
-            if (relay.empty())
-                relay = route(it);
-            vm = relay;
-        }
-        else
-            vm = route(it);
-        if (!vm.empty())
-            by_vm[vm].push_back(n);
-        else
             report(job, n,
-                   lacking(it.task.shard,
-                           it.tried.empty() ? model::lack_reason::no_server
-                                            : model::lack_reason::leaf_lost,
-                           it.maybe_run));
+                   lacking(it.task.shard, model::lack_reason::timeout, false));
+            continue;
+        }
+        auto vm = reroute(it, now);
+        if (vm.empty())
+        {
+            const auto lost = is_far(it) ? model::lack_reason::data_centre_lost
+                                         : model::lack_reason::leaf_lost;
+            report(
+                job, n,
+                lacking(it.task.shard,
+                        it.tried.empty() ? model::lack_reason::no_server : lost,
+                        false));
+            continue;
+        }
+        if (is_far(it))
+        {
+            const auto* upstream =
+                fleet_.catalog().find_upstream(it.task.upstream);
+            auto& relay =
+                relays.try_emplace(upstream->data_centre, vm).first->second;
+            if (!it.tried.contains(relay))
+                vm = relay;
+        }
+        by_vm[vm].push_back(n);
     }
     for (auto& [vm, tasks] : by_vm)
         send(id, vm, std::move(tasks), now, out);
@@ -122,18 +185,65 @@
                    core::effects& out)
 {
     const auto* entry = fleet_.view().find(vm);
-    if (!entry)
-        return;
+    assert(entry && "forwards go to VMs of the view");
     auto& job = jobs_.at(id);
     wire::forward msg = job.job.request;
     msg.attempt = ++last_attempt_;
     msg.budget_ms = budget_ms(job.job.deadline, now);
     for (const auto n : positions)
         msg.shards.push_back(job.tasks[n].task);
-    forwards_[msg.attempt] = {id, vm, now, std::move(positions)};
+    forwards_[msg.attempt] = {id, vm, now, std::move(positions),
+                              job.next_span++};
+    job.attempts.insert(msg.attempt);
+    sent_to_[vm].insert(msg.attempt);
     out.emplace_back(core::send_peer{vm, entry->peer_address, std::move(msg)});
 }
 
+// Closes a forward and adds its span to the trace.
+scatter::open_forward scatter::take_forward(std::uint32_t attempt,
+                                            const std::string& note,
+                                            base::instant now)
+{
+    auto out = std::move(forwards_.extract(attempt).mapped());
+    auto& job = jobs_.at(out.job);
+    job.attempts.erase(attempt);
+    const auto to = sent_to_.find(out.vm);
+    to->second.erase(attempt);
+    if (to->second.empty())
+        sent_to_.erase(to);
+    wire::span hop;
+    hop.id = out.span;
+    hop.parent = job.job.request.parent_span;
+    hop.name = "forward";
+    hop.vm = fleet_.options().vm;
+    hop.peer = out.vm;
+    hop.start_us = to_us(out.sent - job.started);
+    hop.length_us = to_us(now - out.sent);
+    hop.note = note;
+    job.spans.push_back(std::move(hop));
+    return out;
+}
+
+// Takes the spans of an answer into the trace of the job: under new ids, below
+// the span of their forward, and on the job's time.
+void scatter::adopt_spans(open_job& job, const open_forward& forward,
+                          const std::vector<wire::span>& spans)
+{
+    std::map<std::uint64_t, std::uint64_t> ids;
+    for (const auto& it : spans)
+        ids.try_emplace(it.id, job.next_span++);
+    const auto offset = to_us(forward.sent - job.started);
+    for (const auto& it : spans)
+    {
+        const auto parent = ids.find(it.parent);
+        auto& made = job.spans.emplace_back(it);
+        made.id = ids.at(it.id);
+        made.parent = it.parent == 0 || parent == ids.end() ? forward.span
+                                                            : parent->second;
+        made.start_us += offset;
+    }
+}
+
 void scatter::report(open_job& job, std::size_t position,
                      const wire::shard_report& it)
 {
@@ -142,9 +252,26 @@
         return;
     task.reported = true;
     task.report = it;
+    // An earlier forward of the task may have done the work too.
+    task.report.maybe_run = it.maybe_run || task.maybe_run;
     --job.missing;
 }
 
+// Puts a task on the next upstream of its shard, if that may and can be done.
+bool scatter::use_alternative(open_job& job, std::size_t position,
+                              const wire::shard_report& it)
+{
+    auto& task = job.tasks[position];
+    if (task.alternatives.empty() || !allows_alternative(it))
+        return false;
+    if (it.maybe_run && !job.job.request.repeatable)
+        return false;
+    task.maybe_run = task.maybe_run || it.maybe_run;
+    task.task.upstream = task.alternatives.front();
+    task.alternatives.erase(task.alternatives.begin());
+    return true;
+}
+
 void scatter::on_answer(const std::string& from,
                         const wire::forward_answer& msg, base::instant now,
                         core::effects& out)
@@ -166,6 +293,7 @@
     if (job.job.request.epoch != msg.epoch)
         return drop("answer states another epoch");
 
+    avoided_.erase(from);
     auto& open = it->second.tasks;
     std::vector<std::size_t> again;
     for (const auto& shard : msg.shards)
@@ -183,26 +311,15 @@
             job.tasks[*at].tried.insert(from);
             again.push_back(*at);
         }
+        else if (use_alternative(job, *at, shard))
+            again.push_back(*at);
         else
             report(job, *at, shard);
         open.erase(at);
     }
-    wire::span hop;
-    hop.id = msg.attempt;
-    hop.parent = job.job.request.parent_span;
-    hop.name = "forward";
-    hop.vm = fleet_.options().vm;
-    hop.peer = from;
-    hop.start_us = std::chrono::duration_cast<base::microseconds>(
-                       it->second.sent - job.started)
-                       .count();
-    hop.length_us =
-        std::chrono::duration_cast<base::microseconds>(now - it->second.sent)
-            .count();
-    job.spans.push_back(hop);
-    job.spans.insert(job.spans.end(), msg.spans.begin(), msg.spans.end());
+    adopt_spans(job, it->second, msg.spans);
     if (open.empty())
-        forwards_.erase(it);
+        take_forward(msg.attempt, {}, now);
     dispatch(id, again, now, out);
     finish_if_complete(id);
 }
@@ -210,15 +327,15 @@
 void scatter::on_peer_lost(const std::string& vm, bool was_up,
                            base::instant now, core::effects& out)
 {
+    avoided_[vm] = now + avoid_time;
+    const auto found = sent_to_.find(vm);
+    if (found == sent_to_.end())
+        return;
+    const auto attempts = found->second;
     std::vector<open_forward> gone;
-    std::erase_if(forwards_,
-                  [&](auto& item)
-                  {
-                      if (item.second.vm != vm)
-                          return false;
-                      gone.push_back(std::move(item.second));
-                      return true;
-                  });
+    for (const auto attempt : attempts)
+        gone.push_back(
+            take_forward(attempt, was_up ? "link lost" : "no link", now));
     for (const auto& it : gone)
         lose_forward(it, was_up, now, out);
 }
@@ -237,7 +354,9 @@
             again.push_back(n);
         else
             report(job, n,
-                   lacking(task.task.shard, model::lack_reason::leaf_lost,
+                   lacking(task.task.shard,
+                           is_far(task) ? model::lack_reason::data_centre_lost
+                                        : model::lack_reason::leaf_lost,
                            task.maybe_run));
     }
     dispatch(gone.job, again, now, out);
@@ -258,44 +377,41 @@
     jobs_.erase(it);
 }
 
-void scatter::close_forwards(std::uint64_t id, core::effects& out)
+void scatter::close_forwards(std::uint64_t id, const std::string& note,
+                             base::instant now, core::effects& out)
 {
-    const auto& ref = jobs_.at(id).job.request.query;
-    std::erase_if(forwards_,
-                  [&](const auto& item)
-                  {
-                      const auto& [attempt, it] = item;
-                      if (it.job != id)
-                          return false;
-                      if (const auto* to = fleet_.view().find(it.vm))
-                          out.emplace_back(
-                              core::send_peer{it.vm, to->peer_address,
-                                              wire::cancel{ref, attempt}});
-                      return true;
-                  });
+    const auto& job = jobs_.at(id);
+    const auto attempts = job.attempts;
+    for (const auto attempt : attempts)
+    {
+        const auto closed = take_forward(attempt, note, now);
+        if (const auto* to = fleet_.view().find(closed.vm))
+            out.emplace_back(
+                core::send_peer{closed.vm, to->peer_address,
+                                wire::cancel{job.job.request.query, attempt}});
+    }
 }
 
-void scatter::expire(std::uint64_t id, core::effects& out)
+void scatter::expire(std::uint64_t id, base::instant now, core::effects& out)
 {
     auto& job = jobs_.at(id);
-    std::set<std::size_t> forwarded;
-    for (const auto& [attempt, it] : forwards_)
-        if (it.job == id)
-            forwarded.insert(it.tasks.begin(), it.tasks.end());
+    for (const auto attempt : job.attempts)
+        for (const auto n : forwards_.at(attempt).tasks)
+            job.tasks[n].maybe_run = true;
     for (std::size_t n = 0; n < job.tasks.size(); ++n)
         report(job, n,
                lacking(job.tasks[n].task.shard, model::lack_reason::timeout,
-                       forwarded.contains(n) || job.tasks[n].maybe_run));
-    close_forwards(id, out);
+                       false));
+    close_forwards(id, "no answer before the deadline", now, out);
     finish_if_complete(id);
 }
 
-void scatter::abandon(std::uint64_t id, core::effects& out)
+void scatter::abandon(std::uint64_t id, base::instant now, core::effects& out)
 {
     const auto it = jobs_.find(id);
     if (it == jobs_.end())
         return;
-    close_forwards(id, out);
+    close_forwards(id, "canceled", now, out);
     deadlines_.erase({it->second.job.deadline, id});
     jobs_.erase(it);
 }
@@ -305,7 +421,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now)
     {
         const auto id = deadlines_.begin()->second;
-        expire(id, out);
+        expire(id, now, out);
     }
 }
 
