--- a/lib/net/peer_transport.cpp
+++ b/lib/net/peer_transport.cpp
@@ -148,7 +148,7 @@
             if (n == 0)
                 return close();
             context_.counters.bytes_received += n;
-            if (!ready() && (before_proof_ += n) > max_handshake_bytes)
+            if (is_flood(n))
                 return refuse({base::error_code::too_large, base::step::receive,
                                "", "handshake is larger than allowed"});
             decoder_.append({in_.data(), n});
@@ -162,6 +162,15 @@
         }
     }
 
+    // Counts what comes before the other side has proved itself.
+    bool is_flood(std::size_t n)
+    {
+        if (ready())
+            return false;
+        before_proof_ += n;
+        return before_proof_ > max_handshake_bytes;
+    }
+
     void drain_frames()
     {
         while (!closing_)
--- a/unittests/net/raw_server.hpp
+++ b/unittests/net/raw_server.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -32,7 +33,8 @@
     {
         listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in at = loopback(0);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        if (::bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0)
+            throw std::runtime_error("cannot bind a loopback port");
         socklen_t size = sizeof at;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
         ::listen(listener_, 16);
