Prove by properties that owners stay within limits and nothing reverts

The first runs found two faults, mended here: a VM that skipped views while it was paused kept its share although others had gained it in between; and a view after an unsettled one settled with a quorum of the latest predecessor only.

--- a/include/mimosacroft/fleet/ownership.hpp
+++ b/include/mimosacroft/fleet/ownership.hpp
@@ -48,8 +48,10 @@
     /// otherwise.
     void set_settled(bool settled, base::instant now);
 
-    /// Forgets all confirmations: they were for an older view.
-    void expire() { ever_confirmed_ = false; }
+    /// A newer view follows: its predecessor's confirmations say nothing about
+    /// it. What was held stays held only if that view was confirmed until now;
+    /// otherwise others may have gained and used it in views between the two.
+    void expire(base::instant now);
 
     /// The share of each server of an upstream that may be used at `now`;
     /// zero if this VM is no owner, waits, or holds an unconfirmed view.
--- a/include/mimosacroft/fleet/view_lease.hpp
+++ b/include/mimosacroft/fleet/view_lease.hpp
@@ -7,8 +7,9 @@
 // or, while the platform is away, by a quorum of the data centre that holds
 // this very version. A confirmation never gets younger by being passed on.
 //
-// A new view is settled once a quorum of the view before it and of itself holds
-// it or a newer one: from then on no quorum can confirm an older view.
+// A new view is settled once a quorum of itself, and of each view since the last
+// settled one, holds it or a newer one: from then on no quorum can confirm an
+// older view.
 #ifndef MIMOSACROFT_FLEET_VIEW_LEASE_HPP
 #define MIMOSACROFT_FLEET_VIEW_LEASE_HPP
 
@@ -74,6 +75,12 @@
     static std::vector<std::size_t> parents_of(std::size_t rank);
 
 private:
+    struct earlier_view
+    {
+        std::vector<std::string> members;
+        base::instant replaced;
+    };
+
     struct held_ask
     {
         std::uint64_t sequence = 0;
@@ -95,7 +102,8 @@
     view_lease_options options_;
     std::uint64_t version_ = 0;
     std::vector<std::string> members_;  ///< of the data centre, in this view
-    std::vector<std::string> previous_; ///< the same in the view before
+    /// The same in the views since the last settled one, this one excluded.
+    std::vector<earlier_view> earlier_;
     std::vector<std::string> parents_;  ///< empty for a VM that asks nobody
     base::instant confirmed_{};         ///< only grows within a view
     bool ever_ = false;                 ///< confirmed_ holds
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -289,7 +289,7 @@
         older_views_.pop_front();
     view_ = std::move(next);
     lease_.on_view(view_, now);
-    ownership_.expire();
+    ownership_.expire(now);
     ownership_.set_settled(false, now);
     ownership_.update(view_, catalog(), now);
     members_.keep_only(view_);
--- a/lib/fleet/ownership.cpp
+++ b/lib/fleet/ownership.cpp
@@ -48,6 +48,13 @@
     ever_confirmed_ = true;
 }
 
+void ownership::expire(base::instant now)
+{
+    if (!ever_confirmed_ || now - confirmed_ > options_.view_ttl)
+        owned_.clear();
+    ever_confirmed_ = false;
+}
+
 void ownership::set_settled(bool settled, base::instant now)
 {
     if (settled && !settled_)
--- a/lib/fleet/view_lease.cpp
+++ b/lib/fleet/view_lease.cpp
@@ -39,7 +39,10 @@
 
 void view_lease::on_view(const view& current, base::instant now)
 {
-    previous_ = version_ == 0 ? current.all_of(data_centre_) : members_;
+    if (settled_)
+        earlier_.clear();
+    if (version_ > 0)
+        earlier_.push_back({members_, now});
     members_ = current.all_of(data_centre_);
     version_ = current.version();
     ever_ = false;
@@ -72,8 +75,10 @@
 
 void view_lease::check_settled()
 {
-    settled_ = settled_ ||
-               (is_quorum(moved_, previous_) && is_quorum(moved_, members_));
+    const bool left =
+        std::ranges::all_of(earlier_, [this](const earlier_view& it)
+                            { return is_quorum(moved_, it.members); });
+    settled_ = settled_ || (left && is_quorum(moved_, members_));
 }
 
 void view_lease::renew(base::instant at, base::instant now,
@@ -198,8 +203,11 @@
     if (now < next_tick_ || members_.empty())
         return;
     next_tick_ = now + tick_period;
+    std::erase_if(earlier_, [&](const earlier_view& it)
+                  { return now - it.replaced >= options_.orphan_wait; });
     if (now - view_since_ >= options_.orphan_wait)
         settled_ = true;
+    check_settled();
     // Asks that found no newer confirmation are answered in time for the other
     // side to ask elsewhere.
     for (auto it = held_.begin(); it != held_.end();)
--- /dev/null
+++ b/unittests/fleet/agent_property_test.cpp
@@ -0,0 +1,368 @@
+// Properties of agents that act together under random faults, in virtual time.
+#include "virtual_fleet.hpp"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mimosacroft;
+using namespace mimosacroft::tests;
+
+namespace
+{
+
+constexpr std::size_t fleet_size = 6;
+constexpr auto longest_request = base::milliseconds(2000);
+
+nlohmann::json search_value(const std::string& name, unsigned deadline)
+{
+    return {{"kind", "search"},
+            {"name", name},
+            {"spec",
+             {{"index", "i"},
+              {"max_deadline_ms", 60000},
+              {"default_deadline_ms", deadline}}}};
+}
+
+nlohmann::json upstream_value()
+{
+    return {{"kind", "upstream"},
+            {"name", "u"},
+            {"spec",
+             {{"data_centre", "dc-0"},
+              {"servers", {{{"name", "a"}, {"address", "127.0.0.1:3"}}}}}}};
+}
+
+// One fault or change; what `target` means depends on the action.
+struct action
+{
+    std::uint8_t kind = 0;
+    std::uint8_t target = 0;
+    std::uint16_t pause_ms = 0; ///< until the next action
+};
+
+std::ostream& operator<<(std::ostream& os, const action& it)
+{
+    return os << int(it.kind) << "/" << int(it.target) << "/" << it.pause_ms;
+}
+
+} // namespace
+
+namespace rc
+{
+
+template <>
+struct Arbitrary<action>
+{
+    static Gen<action> arbitrary()
+    {
+        return gen::build<action>(
+            gen::set(&action::kind, gen::arbitrary<std::uint8_t>()),
+            gen::set(&action::target, gen::arbitrary<std::uint8_t>()),
+            gen::set(&action::pause_ms, gen::inRange<std::uint16_t>(1, 4000)));
+    }
+};
+
+} // namespace rc
+
+namespace
+{
+
+// Carries out random actions on a fleet.
+class chaos
+{
+public:
+    explicit chaos(std::size_t data_centres) : all(fleet_size, data_centres, 7)
+    {
+        listed_ = all.platform.vms;
+        all.platform.put("upstream", "u", upstream_value());
+        all.passes = [this](std::size_t from, std::size_t to)
+        { return !cuts_.contains({from, to}); };
+    }
+
+    void start()
+    {
+        for (std::size_t n = 0; n < fleet_size; ++n)
+            all.start(n);
+    }
+
+    // Configuration and the platform.
+    void change_configuration(const action& it)
+    {
+        const auto name = "s" + std::to_string(it.target % 3);
+        if (it.target % 7 == 0)
+            all.platform.remove("search", name);
+        else if (it.target % 7 == 1)
+            all.platform.put("search", name, {{"kind", "nonsense"}});
+        else
+            all.platform.put("search", name, search_value(name, it.target + 1));
+        all.changed();
+    }
+
+    void save_or_restore(const action& it)
+    {
+        if (it.target % 2 == 0)
+            saved_ = all.platform.objects;
+        else
+            restore();
+        saved_version_ = it.target % 2 == 0 ? all.platform.version : 0;
+    }
+
+    void toggle_platform() { all.platform.down = !all.platform.down; }
+
+    // Links.
+    void cut_one_way(const action& it)
+    {
+        cuts_.insert({it.target % fleet_size,
+                      (it.target / fleet_size) % (fleet_size + 1)});
+    }
+
+    // Cuts some VMs from the rest and from the platform.
+    void isolate(const action& it)
+    {
+        for (std::size_t from = 0; from < fleet_size; ++from)
+            for (std::size_t to = 0; to <= fleet_size; ++to)
+                if (inside(it, from) != inside(it, to))
+                    cuts_.insert({{from, to}, {to, from}});
+    }
+
+    void heal() { cuts_.clear(); }
+    bool whole() const { return cuts_.empty(); }
+
+    // VMs.
+    void restart(const action& it)
+    {
+        const auto n = it.target % fleet_size;
+        if (n != paused_)
+            all.start(n);
+    }
+
+    void pause_or_resume(const action& it)
+    {
+        if (paused_ == fleet_size)
+        {
+            paused_ = it.target % fleet_size;
+            all.pause(paused_);
+        }
+        else
+            all.resume(std::exchange(paused_, fleet_size));
+    }
+
+    // The platform's list drops a VM, or takes it up again.
+    void change_list(const action& it)
+    {
+        auto next = all.platform.vms;
+        const auto& row = listed_[it.target % fleet_size];
+        if (std::erase(next, row) == 0)
+            next.push_back(row);
+        all.platform.set_vms(next);
+    }
+
+    void mend_everything()
+    {
+        heal();
+        all.loss = all.duplicate = 0;
+        all.platform.down = false;
+        if (paused_ != fleet_size)
+            all.resume(std::exchange(paused_, fleet_size));
+        all.platform.set_vms(listed_);
+    }
+
+    virtual_fleet all;
+
+private:
+    static bool inside(const action& it, std::size_t n)
+    {
+        return n < fleet_size && ((it.target >> n) & 1U) != 0;
+    }
+
+    void restore()
+    {
+        all.platform.objects = saved_;
+        all.platform.version = saved_version_;
+    }
+
+    std::vector<wire::view_entry> listed_;
+    decltype(fake_platform::objects) saved_;
+    std::uint64_t saved_version_ = 0;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    std::size_t paused_ = fleet_size; ///< fleet_size: none
+};
+
+// Versions in force at each process only grow.
+class version_monitor
+{
+public:
+    void check(const virtual_fleet& all)
+    {
+        for (std::size_t n = 0; n < all.members.size(); ++n)
+        {
+            const auto& it = all.members[n];
+            if (!it.agent)
+                continue;
+            for (const auto& [key, entry] : it.agent->store().entries())
+            {
+                auto& seen = seen_[{n, it.life}][key];
+                RC_ASSERT(entry.version >= seen);
+                seen = entry.version;
+            }
+        }
+    }
+
+private:
+    using object_key = std::pair<std::string, std::string>;
+    std::map<std::pair<std::size_t, std::uint64_t>,
+             std::map<object_key, std::uint64_t>>
+        seen_;
+};
+
+// What VMs use of one server: requests in flight until their deadline, and
+// connections until the VM acts again with a smaller share or ends.
+class usage_monitor
+{
+public:
+    void check(const virtual_fleet& all)
+    {
+        std::uint32_t slots = 0;
+        std::uint32_t connections = 0;
+        for (std::size_t n = 0; n < all.members.size(); ++n)
+        {
+            const auto& it = all.members[n];
+            auto& used = used_[n];
+            if (it.life != used.life)
+                used = {it.life, 0, {}};
+            if (it.agent && !it.paused)
+            {
+                const auto part = it.agent->ownership().usable("u", all.now);
+                used.connections = part.connections;
+                if (part.slots > 0)
+                    used.until[part.slots] = all.now + longest_request;
+            }
+            std::erase_if(used.until, [&](const auto& sent)
+                          { return sent.second < all.now; });
+            slots += used.until.empty() ? 0 : used.until.rbegin()->first;
+            connections += used.connections;
+        }
+        RC_ASSERT(slots <= 2U);
+        RC_ASSERT(connections <= 25U);
+        most_slots = std::max(most_slots, slots);
+    }
+
+    std::uint32_t most_slots = 0;
+
+private:
+    struct usage
+    {
+        std::uint64_t life = 0;
+        std::uint32_t connections = 0;
+        std::map<std::uint32_t, base::instant> until; ///< by slots
+    };
+    std::map<std::size_t, usage> used_;
+};
+
+} // namespace
+
+TEST_GROUP(agent_properties){};
+
+TEST(agent_properties, configuration_never_reverts_and_converges)
+{
+    CHECK(rc::check(
+        "versions only grow, and all VMs end with the same objects",
+        [](const std::vector<action>& actions)
+        {
+            chaos world(2);
+            version_monitor versions;
+            const auto check = [&] { versions.check(world.all); };
+            world.all.loss = 0.1;
+            world.all.duplicate = 0.1;
+            world.start();
+            for (const auto& it : actions)
+            {
+                switch (it.kind % 8)
+                {
+                case 0:
+                case 1:
+                    world.change_configuration(it);
+                    break;
+                case 2:
+                    world.toggle_platform();
+                    break;
+                case 3:
+                    world.save_or_restore(it);
+                    break;
+                case 4:
+                    world.isolate(it);
+                    break;
+                case 5:
+                    world.heal();
+                    break;
+                case 6:
+                    world.restart(it);
+                    break;
+                default:
+                    world.pause_or_resume(it);
+                }
+                world.all.run(base::milliseconds(it.pause_ms), check);
+            }
+            world.mend_everything();
+            world.all.platform.version += 1000;
+            world.all.platform.put("search", "last", search_value("last", 9));
+            world.all.changed();
+            world.all.run(base::seconds(40), check);
+            const auto& first = *world.all.members[0].agent;
+            RC_ASSERT(first.catalog().find_search("last") != nullptr);
+            for (const auto& it : world.all.members)
+            {
+                RC_ASSERT(it.agent->store().through() ==
+                          first.store().through());
+                RC_ASSERT(it.agent->store().fingerprint() ==
+                          first.store().fingerprint());
+            }
+        }));
+}
+
+TEST(agent_properties, owners_stay_within_a_servers_limits)
+{
+    CHECK(rc::check("slots and connections of all VMs stay within the limits",
+                    [](const std::vector<action>& actions)
+                    {
+                        chaos world(1);
+                        usage_monitor usage;
+                        const auto check = [&] { usage.check(world.all); };
+                        world.start();
+                        world.all.run(base::seconds(8), check);
+                        for (const auto& it : actions)
+                        {
+                            switch (it.kind % 7)
+                            {
+                            case 0:
+                            case 1:
+                                world.change_list(it);
+                                break;
+                            case 2:
+                                world.isolate(it);
+                                break;
+                            case 3:
+                                world.cut_one_way(it);
+                                break;
+                            case 4:
+                                world.heal();
+                                break;
+                            case 5:
+                                if (world.whole())
+                                    world.restart(it);
+                                break;
+                            default:
+                                world.pause_or_resume(it);
+                            }
+                            if (it.target % 16 == 0)
+                                world.toggle_platform();
+                            world.all.run(base::milliseconds(it.pause_ms),
+                                          check);
+                        }
+                        // The limits are not kept by serving nothing.
+                        world.mend_everything();
+                        world.all.run(base::seconds(15), check);
+                        RC_ASSERT(usage.most_slots == 2U);
+                    }));
+}
