Bound connections of requests that may not be repeated; owners once a view

Cause: each call on a fresh connection left one more idle connection, so calls that may not be repeated could exceed an owner's connection share; the core's property test cannot see the client. And scatter asked the view for an upstream's owners for each shard, which sorts all VMs of the data centre. Change: a fresh connection takes the place of an idle one, closed first; ownership keeps the owners of each upstream from its last update. Ruled out: closing a fresh connection after its reply, which leaves idle and fresh ones to add up while both are open.

--- a/include/mimosacroft/fleet/ownership.hpp
+++ b/include/mimosacroft/fleet/ownership.hpp
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace mimosacroft::fleet
 {
@@ -57,6 +58,11 @@
     /// zero if this VM is no owner, waits, or holds an unconfirmed view.
     share usable(const std::string& upstream, base::instant now) const;
 
+    /// The owners of an upstream in the view and configuration of the last
+    /// update; empty for one that is not known.
+    const std::vector<std::string>&
+    owners_of(const std::string& upstream) const;
+
     /// Whether this VM is an owner, usable or not.
     bool owns(const std::string& upstream) const;
 
@@ -74,6 +80,7 @@
                   base::instant now) const;
     share at(const owned& it, base::instant now) const;
 
+    std::map<std::string, std::vector<std::string>> owners_; ///< by upstream
     std::map<std::string, owned> owned_;
     bool settled_ = true;
     base::instant confirmed_;
--- a/include/mimosacroft/fleet/view_lease.hpp
+++ b/include/mimosacroft/fleet/view_lease.hpp
@@ -7,9 +7,9 @@
 // or, while the platform is away, by a quorum of the data centre that holds
 // this very version. A confirmation never gets younger by being passed on.
 //
-// A new view is settled once a quorum of itself, and of each view since the last
-// settled one, holds it or a newer one: from then on no quorum can confirm an
-// older view.
+// A new view is settled once a quorum of itself, and of each view since the
+// last settled one, holds it or a newer one: from then on no quorum can confirm
+// an older view.
 #ifndef MIMOSACROFT_FLEET_VIEW_LEASE_HPP
 #define MIMOSACROFT_FLEET_VIEW_LEASE_HPP
 
@@ -101,12 +101,12 @@
     std::string data_centre_;
     view_lease_options options_;
     std::uint64_t version_ = 0;
-    std::vector<std::string> members_;  ///< of the data centre, in this view
+    std::vector<std::string> members_; ///< of the data centre, in this view
     /// The same in the views since the last settled one, this one excluded.
     std::vector<earlier_view> earlier_;
-    std::vector<std::string> parents_;  ///< empty for a VM that asks nobody
-    base::instant confirmed_{};         ///< only grows within a view
-    bool ever_ = false;                 ///< confirmed_ holds
+    std::vector<std::string> parents_; ///< empty for a VM that asks nobody
+    base::instant confirmed_{};        ///< only grows within a view
+    bool ever_ = false;                ///< confirmed_ holds
     bool counts_ = false; ///< was confirmed since the process started
     bool settled_ = false;
     base::instant view_since_{};
--- a/lib/fleet/ownership.cpp
+++ b/lib/fleet/ownership.cpp
@@ -15,9 +15,10 @@
                        base::instant now)
 {
     std::map<std::string, owned> next;
+    owners_.clear();
     for (const auto& [name, upstream] : catalog.upstreams())
     {
-        const auto owners = current.owners_of(upstream);
+        const auto& owners = owners_[name] = current.owners_of(upstream);
         if (std::ranges::find(owners, self_) == owners.end())
             continue;
         const share part = share_of(upstream, owners.size());
@@ -66,6 +67,14 @@
     settled_ = settled;
 }
 
+const std::vector<std::string>&
+ownership::owners_of(const std::string& upstream) const
+{
+    static const std::vector<std::string> nobody;
+    const auto it = owners_.find(upstream);
+    return it == owners_.end() ? nobody : it->second;
+}
+
 share ownership::at(const owned& it, base::instant now) const
 {
     const bool handed_over =
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -269,6 +269,30 @@
                                 address, "no reply before the deadline"));
     }
 
+    void start_new(std::uint64_t call, const std::string& address,
+                   const http_request& request)
+    {
+        const auto opened = open_connection(address);
+        if (opened)
+            return start(call, **opened, request);
+        owner.post([this, call, e = opened.error()]
+                   { finish(call, tl::unexpected(e)); });
+    }
+
+    // Opens a connection in the place of an idle one, so that fresh connections
+    // do not add up. The idle one is closed by the loop, before this opens.
+    void replace(const connection& idle, std::uint64_t call,
+                 const std::string& address, const http_request& request)
+    {
+        close(idle);
+        owner.post(
+            [this, call, address, request]
+            {
+                if (calls.count(call) > 0)
+                    start_new(call, address, request);
+            });
+    }
+
     void start(std::uint64_t call, connection& conn,
                const http_request& request)
     {
@@ -300,20 +324,13 @@
     made.fn = std::move(fn);
     made.deadline = impl_->owner.at(options.deadline, [this, call, address]
                                     { impl_->on_deadline(call, address); });
-    auto* conn =
-        options.fresh_connection ? nullptr : impl_->idle_connection(address);
-    if (!conn)
-    {
-        auto opened = impl_->open_connection(address);
-        if (!opened)
-        {
-            impl_->owner.post([this, call, e = opened.error()]
-                              { impl_->finish(call, tl::unexpected(e)); });
-            return call;
-        }
-        conn = *opened;
-    }
-    impl_->start(call, *conn, request);
+    auto* idle = impl_->idle_connection(address);
+    if (!options.fresh_connection && idle)
+        impl_->start(call, *idle, request);
+    else if (!idle)
+        impl_->start_new(call, address, request);
+    else
+        impl_->replace(*idle, call, address, request);
     return call;
 }
 
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -104,7 +104,7 @@
         return {};
     const auto& own = fleet_.options();
     auto targets = is_far(it) ? fleet_.view().members_of(upstream->data_centre)
-                              : fleet_.view().owners_of(*upstream);
+                              : fleet_.ownership().owners_of(upstream->name);
     std::erase_if(targets, [&](const std::string& vm)
                   { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -27,7 +27,8 @@
     net::http_client client{loop};
 
     // Runs the loop until one call has ended.
-    reply_result call(const std::string& address, int deadline_ms = 5000)
+    reply_result call(const std::string& address, int deadline_ms = 5000,
+                      bool fresh = false)
     {
         std::optional<reply_result> out;
         const auto done = [&](reply_result it)
@@ -39,7 +40,7 @@
             [&]
             {
                 client.call(address, {"GET", "/", "", {}, ""},
-                            {in_ms(deadline_ms), false}, done);
+                            {in_ms(deadline_ms), fresh}, done);
                 // The reply never comes before call() has returned.
                 CHECK_FALSE(out.has_value());
             });
@@ -84,6 +85,17 @@
     LONGS_EQUAL(0, loop.timers());
 }
 
+TEST(http_client, a_fresh_connection_takes_the_place_of_an_idle_one)
+{
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                            after_reply::keep);
+    CHECK(call(server.address()).has_value());
+    CHECK(call(server.address(), 5000, true).has_value());
+    CHECK(call(server.address(), 5000, true).has_value());
+    LONGS_EQUAL(1, client.connections(server.address()));
+    LONGS_EQUAL(0, loop.timers());
+}
+
 TEST(http_client, rubbish_in_place_of_a_reply)
 {
     const raw_server server("\x01\x02 not http \xff\r\n\r\n",
