Limit the queries that a root has open

Cause: in overload each shard was refused or late by chance, so nearly no query got all of its shards; refusing shards at the leaf cannot help. Change: query/admission, a limit by additive increase and multiplicative decrease, driven by the waits that leaves report with each shard; what is refused is not_run. A shard that was never sent at its deadline is now reported as overload, or as no_server when this VM may not use the upstream. Ruled out: limits by latency of whole queries, which a slow shard or a cut data centre would lower; a fixed limit.

--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -20,6 +20,7 @@
 struct node_options
 {
     query::leaf_options leaf;
+    query::admission_options admission;
 };
 
 class node
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -116,6 +116,7 @@
         /// run. What open calls did is not known yet.
         bool ran = false;
         std::uint32_t attempts = 0;
+        base::duration waited{};           ///< before the first attempt
         std::set<std::string> asked;       ///< servers
         std::set<std::uint64_t> calls;     ///< open ones that ask for it
         std::optional<work_ticket> queued; ///< its place while it waits
@@ -222,6 +223,8 @@
     // Reporting.
     void report_lacking(const task_key& key, model::lack_reason reason);
     void report(const task_key& key, wire::shard_report it);
+    model::lack_reason lack_at_deadline(const open_task& task,
+                                        base::instant now) const;
     void expire_forward(const forward_key& key, base::instant now,
                         core::effects& out);
     void answer_if_complete(const forward_key& key);
--- a/include/mimosacroft/query/root.hpp
+++ b/include/mimosacroft/query/root.hpp
@@ -3,6 +3,7 @@
 #ifndef MIMOSACROFT_QUERY_ROOT_HPP
 #define MIMOSACROFT_QUERY_ROOT_HPP
 
+#include "mimosacroft/query/admission.hpp"
 #include "mimosacroft/query/claims.hpp"
 #include "mimosacroft/query/scatter.hpp"
 #include "mimosacroft/query/search.hpp"
@@ -17,7 +18,7 @@
 {
 public:
     root(const fleet::agent& fleet, query::scatter& scatter,
-         query::claims& claims);
+         query::claims& claims, admission_options options = {});
 
     /// Admits a request. Its answer comes by take_answers().
     void start(search_request request, base::instant now, core::effects& out);
@@ -43,6 +44,9 @@
 
     std::vector<search_answer> take_answers();
 
+    /// How many queries may be open.
+    double limit() const { return admission_.limit(); }
+
 private:
     /// A request that passed the checks.
     struct admitted
@@ -54,6 +58,7 @@
         bool restarted = false;  ///< at a newer epoch
         bool ran_before = false; ///< shards may have run before the restart
         std::uint32_t extra_attempts = 0; ///< spent before the restart
+        std::size_t congested = 0;        ///< shards that queues held up
     };
 
     struct open_query
@@ -73,6 +78,7 @@
 
     std::optional<std::string> problem_of(const search_request& request) const;
     void reject(const search_request& request, std::string why);
+    void refuse(const search_request& request);
     void run(admitted query, base::instant now, core::effects& out);
     void claim(admitted query, base::instant now, core::effects& out);
     search_answer blank_answer(const admitted& query) const;
@@ -94,6 +100,7 @@
     const fleet::agent& fleet_;
     query::scatter& scatter_;
     query::claims& claims_;
+    query::admission admission_;
     std::uint64_t last_query_ = 0;
     std::map<std::uint64_t, open_query> open_;       ///< by scatter job
     std::map<std::uint64_t, admitted> claiming_;     ///< by claim
--- a/include/mimosacroft/wire/messages.hpp
+++ b/include/mimosacroft/wire/messages.hpp
@@ -109,8 +109,9 @@
     bool maybe_run = false; ///< false only if the shard provably did not run
     std::uint32_t extra_attempts = 0; ///< hedges and retries spent on it
     std::string payload;
+    std::uint32_t queue_us = 0; ///< wait at the leaf before the first attempt
     MSGPACK_DEFINE_ARRAY(shard, included, lack, maybe_run, extra_attempts,
-                         payload)
+                         payload, queue_us)
 };
 
 /// Answers a forward for some of its shards. A forward is closed once each of
--- a/lib/load/experiments.cpp
+++ b/lib/load/experiments.cpp
@@ -14,11 +14,12 @@
 constexpr double most_extra_load = 0.05;
 constexpr double most_ms = 300;
 
-/// The leaf's mechanisms, some of them switched off.
+/// The mechanisms of leaf and root, some of them switched off.
 struct mechanisms
 {
     std::string variant;
     query::leaf_options leaf;
+    bool admission = true;
 };
 
 /// Our own baseline: every mechanism off.
@@ -29,7 +30,8 @@
              .replica_choice = false,
              .budget = false,
              .ejection = false,
-             .priorities = false}};
+             .priorities = false},
+            false};
 }
 
 std::vector<mechanisms> all_mechanisms()
@@ -40,12 +42,13 @@
             {"budget off", {.budget = false}},
             {"ejection off", {.ejection = false}},
             {"priorities off", {.priorities = false}},
+            {"admission off", {}, false},
             all_off()};
 }
 
 std::vector<mechanisms> on_and_off()
 {
-    return {{"all on", {}}, all_off()};
+    return {{"all on", {}}, {"admission off", {}, false}, all_off()};
 }
 
 workload workload_of(std::uint64_t seed, const mechanisms& it)
@@ -54,10 +57,13 @@
     out.variant = it.variant;
     out.bed = testbed_of_today(seed);
     out.bed.make_node =
-        [leaf = it.leaf](fleet::agent_options fleet, std::uint64_t node_seed)
+        [it](fleet::agent_options fleet, std::uint64_t node_seed)
     {
+        node::node_options options;
+        options.leaf = it.leaf;
+        options.admission.enabled = it.admission;
         return std::make_unique<node::node>(std::move(fleet), node_seed,
-                                            node::node_options{leaf});
+                                            options);
     };
     return out;
 }
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -24,7 +24,8 @@
 node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
     : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
       claims_(claims_of(fleet_.options()), seed + 2),
-      root_(fleet_, scatter_, claims_), leaf_(fleet_, options.leaf)
+      root_(fleet_, scatter_, claims_, options.admission),
+      leaf_(fleet_, options.leaf)
 {
 }
 
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -307,6 +307,7 @@
         if (task.attempts == 0)
         {
             lane.budget.on_first_attempt();
+            task.waited = now - forward.started;
             ++totals_.first_attempts;
         }
         ++task.attempts;
@@ -702,6 +703,7 @@
     assert(!task.reported && "a shard is reported once");
     unqueue(task);
     task.reported = true;
+    it.queue_us = static_cast<std::uint32_t>(to_us(task.waited));
     forward.reports.push_back(std::move(it));
     --forward.missing;
 }
@@ -739,6 +741,17 @@
         abandon_if_unwanted(id, now, out);
 }
 
+// A task that was never sent waited for a slot, or for this VM's share.
+model::lack_reason leaf::lack_at_deadline(const open_task& task,
+                                          base::instant now) const
+{
+    if (task.attempts > 0)
+        return model::lack_reason::timeout;
+    const auto part = fleet_.ownership().usable(task.task.upstream, now);
+    return part.slots > 0 ? model::lack_reason::overload
+                          : model::lack_reason::no_server;
+}
+
 // Reports what a forward lacks at its deadline.
 void leaf::expire_forward(const forward_key& key, base::instant now,
                           core::effects& out)
@@ -751,7 +764,7 @@
         if (task.reported)
             continue;
         calls.insert(task.calls.begin(), task.calls.end());
-        report_lacking({key, n}, model::lack_reason::timeout);
+        report_lacking({key, n}, lack_at_deadline(task, now));
     }
     answer_if_complete(key);
     for (const auto id : calls)
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -34,11 +34,21 @@
     return hash % shards;
 }
 
+/// A shard that waited longer than this part of the deadline is held up.
+constexpr int queue_part = 8;
+
+// Whether a queue at a leaf held a shard up.
+bool is_congested(const wire::shard_report& it, base::duration longest_wait)
+{
+    return it.lack == static_cast<std::uint8_t>(model::lack_reason::overload) ||
+           base::microseconds(it.queue_us) > longest_wait;
+}
+
 } // namespace
 
 root::root(const fleet::agent& fleet, query::scatter& scatter,
-           query::claims& claims)
-    : fleet_(fleet), scatter_(scatter), claims_(claims)
+           query::claims& claims, admission_options options)
+    : fleet_(fleet), scatter_(scatter), claims_(claims), admission_(options)
 {
 }
 
@@ -103,12 +113,26 @@
     return std::nullopt;
 }
 
+// Nothing of the request ran or will run.
+void root::refuse(const search_request& request)
+{
+    search_answer out;
+    out.ticket = request.ticket;
+    out.search = request.search;
+    out.trace = request.trace;
+    out.outcome = model::outcome::not_run;
+    out.error = "the servers are overloaded, nothing ran";
+    answers_.push_back(std::move(out));
+}
+
 void root::start(search_request request, base::instant now, core::effects& out)
 {
     if (auto problem = problem_of(request))
         return reject(request, std::move(*problem));
     const auto* search = fleet_.catalog().find_search(request.search);
     const base::milliseconds most(search->default_deadline_ms);
+    if (!admission_.try_open(request.priority))
+        return refuse(request);
     admitted query;
     query.started = now;
     query.deadline = now + request.deadline.value_or(most);
@@ -287,6 +311,11 @@
         return true;
     }
     auto& answer = query.answer;
+    const auto longest_wait =
+        (query.admitted.deadline - query.admitted.started) / queue_part;
+    query.admitted.congested = static_cast<std::size_t>(
+        std::ranges::count_if(result.reports, [longest_wait](const auto& it)
+                              { return is_congested(it, longest_wait); }));
     const bool ran_before = query.admitted.ran_before;
     answer.extra_attempts = query.admitted.extra_attempts;
     for (std::size_t n = 0; n < result.reports.size(); ++n)
@@ -318,6 +347,9 @@
                   base::instant now, core::effects& out)
 {
     answer.took = now - query.started;
+    admission_.close(query.request.priority,
+                     answer.included.size() + answer.lacking.size(),
+                     query.congested, now);
     answer.spans.insert(answer.spans.begin(), span_of(query, now));
     out.emplace_back(core::log_event{
         core::event_id::query_finished,
