--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -158,6 +158,7 @@
         work_queue<task_key> waiting;
         extra_budget budget;
         latency_tracker latency;
+        base::instant unusable{}; ///< last time this VM had no share
     };
 
     enum class attempt_kind
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -77,6 +77,7 @@
     lane made{work_queue<task_key>(
                   work_queue_options{.priorities = options_.priorities}),
               extra_budget(extra_budget_options{.enabled = options_.budget}),
+              {},
               {}};
     return lanes_.emplace(upstream, std::move(made)).first->second;
 }
@@ -217,6 +218,8 @@
     if (!upstream || found == lanes_.end())
         return;
     auto& from = found->second;
+    if (fleet_.ownership().usable(name, now).slots == 0)
+        from.unusable = now;
     // Retries whose other servers are all busy; they let the rest pass.
     std::vector<task_key> deferred;
     while (!from.waiting.empty() &&
@@ -307,7 +310,8 @@
         if (task.attempts == 0)
         {
             lane.budget.on_first_attempt();
-            task.waited = now - forward.started;
+            // A wait for this VM's share says nothing of the servers' load.
+            task.waited = now - std::max(forward.started, lane.unusable);
             ++totals_.first_attempts;
         }
         ++task.attempts;
--- a/unittests/query/admission_test.cpp
+++ b/unittests/query/admission_test.cpp
@@ -16,6 +16,7 @@
 {
     query::admission_options out;
     out.initial_limit = 4;
+    out.least_limit = 2;
     return out;
 }
 
