Ask the platform for the list of VMs only when it has changed

Cause: the two watchers of a data centre read the whole list each second. Change: the poll names the version it has (after=), and the platform answers with the version alone if that is the newest; a list that was replaced meanwhile counts for nothing.

--- a/include/mimosacroft/fleet/platform_codec.hpp
+++ b/include/mimosacroft/fleet/platform_codec.hpp
@@ -14,7 +14,9 @@
 /// which the reply is complete.
 base::result<wire::config_push> parse_changes(const std::string& json);
 
-/// Reads the reply of the list of VMs.
+/// Reads the reply of the list of VMs. When the platform says that the version
+/// asked for is still the newest, `base` is that version and there are no
+/// entries.
 base::result<wire::view_push> parse_vms(const std::string& json);
 
 } // namespace mimosacroft::fleet
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -111,7 +111,9 @@
                            wait, now, out);
     }
     else
-        id = platform_.get("/v1/vms", "", base::milliseconds(0), now, out);
+        id =
+            platform_.get("/v1/vms", "after=" + std::to_string(view_.version()),
+                          base::milliseconds(0), now, out);
     next = id == 0 ? now + budget_retry : base::never;
     if (id != 0)
         calls_[id] = {kind, now, cursor_.after()};
@@ -193,6 +195,9 @@
         return;
     }
     const auto version = parsed->version;
+    // The list that was asked about may have been replaced meanwhile.
+    if (parsed->base != 0 && version != view_.version())
+        return;
     const bool older = version < view_.version();
     if (older && !view_older_)
         out.emplace_back(
--- a/lib/fleet/platform_codec.cpp
+++ b/lib/fleet/platform_codec.cpp
@@ -55,6 +55,11 @@
         {
             wire::view_push out;
             out.version = in.at("version").get<std::uint64_t>();
+            if (in.value("unchanged", false))
+            {
+                out.base = out.version;
+                return out;
+            }
             for (const auto& it : in.at("vms"))
                 out.entries.push_back({it.at("vm").get<std::string>(),
                                        it.at("data_centre").get<std::string>(),
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -227,9 +227,12 @@
         return true;
     }
 
-    json to_json()
+    /// The list, or only its version if that is `after`.
+    json to_json(std::uint64_t after)
     {
         const std::lock_guard lock(mutex_);
+        if (after == version_)
+            return {{"version", version_}, {"unchanged", true}};
         auto list = json::array();
         for (const auto& it : vms_)
             if (it.listed)
@@ -286,7 +289,7 @@
                                   number(request, "wait_ms"),
                                   net::query_parameter(request.query, "kinds"));
         if (request.path == "/v1/vms")
-            return reply(200, vms_.to_json());
+            return reply(200, vms_.to_json(number(request, "after")));
         if (parts.size() == 4 && parts[1] == "objects")
             return store_.object_request(request, parts[2], parts[3]);
         return reply(404, {{"error", "no such path"}});
--- a/unittests/fleet/virtual_fleet.hpp
+++ b/unittests/fleet/virtual_fleet.hpp
@@ -71,8 +71,11 @@
         return nlohmann::json{{"version", version}, {"objects", list}}.dump();
     }
 
-    std::string list() const
+    std::string list(std::uint64_t after) const
     {
+        if (after == vms_version)
+            return nlohmann::json{{"version", vms_version}, {"unchanged", true}}
+                .dump();
         auto list = nlohmann::json::array();
         for (const auto& it : vms)
             list.push_back({{"vm", it.vm},
@@ -320,7 +323,8 @@
                if (!reachable(n))
                    return reply(n, life, id, {});
                if (!watch)
-                   return reply(n, life, id, platform.list());
+                   return reply(n, life, id,
+                                platform.list(number_of(query, "after=")));
                const auto after = number_of(query, "after=");
                if (platform.version > after ||
                    number_of(query, "wait_ms=") == 0)
