One piece of code where two stood: addresses, splitting, hash, blank answers

Found by reading the whole change: is_address in settings and schema, split in the load tool and the platform's stand-in, FNV-1a in the root beside base/stable_hash, four places that made an answer with nothing in it, and the loop over variants in six experiments. base/text, base::fnv1a, query::blank_answer and run_each serve them now. Behaviour is kept, but that a port of a setting with more than five digits (leading zeros) is refused, as the schema always did.

--- /dev/null
+++ b/include/mimosacroft/base/text.hpp
@@ -0,0 +1,21 @@
+// Small readings of text that several parts share.
+#ifndef MIMOSACROFT_BASE_TEXT_HPP
+#define MIMOSACROFT_BASE_TEXT_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mimosacroft::base
+{
+
+/// The parts of a text between separators, without empty ones.
+std::vector<std::string> split(std::string_view text, char by);
+
+/// Whether a text is "ip:port" with a port from 1 to 65535. The part before the
+/// port is not looked at.
+bool is_address(std::string_view text);
+
+} // namespace mimosacroft::base
+
+#endif
--- a/include/mimosacroft/query/root.hpp
+++ b/include/mimosacroft/query/root.hpp
@@ -77,11 +77,10 @@
     };
 
     std::optional<std::string> problem_of(const search_request& request) const;
-    void reject(const search_request& request, std::string why);
-    void refuse(const search_request& request);
+    void refuse(const search_request& request, model::outcome outcome,
+                std::string why);
     void run(admitted query, base::instant now, core::effects& out);
     void claim(admitted query, base::instant now, core::effects& out);
-    search_answer blank_answer(const admitted& query) const;
     void finish(const admitted& query, search_answer answer, base::instant now,
                 core::effects& out);
     void close_claim(const admitted& query, search_answer answer,
--- a/include/mimosacroft/query/search.hpp
+++ b/include/mimosacroft/query/search.hpp
@@ -62,6 +62,9 @@
     base::duration took{};
 };
 
+/// An answer to a request with nothing in it yet.
+search_answer blank_answer(const search_request& request);
+
 /// Share of the shards that is included; 1 when there are none.
 double coverage_of(const search_answer& answer);
 
--- /dev/null
+++ b/lib/base/text.cpp
@@ -0,0 +1,46 @@
+// Small readings of text that several parts share.
+#include "mimosacroft/base/text.hpp"
+
+#include <charconv>
+
+namespace mimosacroft::base
+{
+
+namespace
+{
+
+constexpr std::size_t max_port_digits = 5;
+constexpr unsigned max_port = 65535;
+
+} // namespace
+
+std::vector<std::string> split(std::string_view text, char by)
+{
+    std::vector<std::string> out;
+    while (!text.empty())
+    {
+        const auto end = text.find(by);
+        const auto part = text.substr(0, end);
+        if (!part.empty())
+            out.emplace_back(part);
+        if (end == std::string_view::npos)
+            break;
+        text.remove_prefix(end + 1);
+    }
+    return out;
+}
+
+bool is_address(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return false;
+    const auto port = text.substr(colon + 1);
+    unsigned n = 0;
+    const auto* end = port.data() + port.size();
+    const auto done = std::from_chars(port.data(), end, n);
+    return port.size() <= max_port_digits && done.ec == std::errc() &&
+           done.ptr == end && n >= 1 && n <= max_port;
+}
+
+} // namespace mimosacroft::base
--- a/lib/daemon/settings.cpp
+++ b/lib/daemon/settings.cpp
@@ -1,6 +1,8 @@
 // Settings of a program, from flags and environment variables.
 #include "mimosacroft/daemon/settings.hpp"
 
+#include "mimosacroft/base/text.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -31,15 +33,6 @@
     return out;
 }
 
-bool is_address(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return false;
-    const auto port = to_number(text.substr(colon + 1));
-    return port && *port >= 1 && *port <= 65535;
-}
-
 std::string allowed_by(const setting_spec& spec)
 {
     switch (spec.kind)
@@ -69,7 +62,7 @@
         return n && *n >= spec.least && *n <= spec.most;
     }
     case setting_kind::address:
-        return is_address(text);
+        return base::is_address(text);
     case setting_kind::flag:
         return text == "true" || text == "false";
     case setting_kind::text:
--- a/lib/load/experiments.cpp
+++ b/lib/load/experiments.cpp
@@ -92,6 +92,17 @@
     return out;
 }
 
+// Runs one experiment with each choice of mechanisms.
+template <typename Change>
+std::vector<measurement> run_each(const std::vector<mechanisms>& choices,
+                                  std::uint64_t seed, Change change)
+{
+    std::vector<measurement> out;
+    for (const auto& it : choices)
+        out.push_back(run(change(workload_of(seed, it))));
+    return out;
+}
+
 workload with_stragglers(workload it)
 {
     it.bed.servers.slow_share = 0.01;
@@ -102,9 +113,7 @@
 
 experiment_report stragglers(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : all_mechanisms())
-        variants.push_back(run(with_stragglers(workload_of(seed, it))));
+    auto variants = run_each(all_mechanisms(), seed, with_stragglers);
     auto out = finish("stragglers", seed, std::move(variants));
     const auto& all_on = out.variants.front();
     out.bounds.push_back(
@@ -136,9 +145,7 @@
 
 experiment_report overload(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : on_and_off())
-        variants.push_back(run(with_overload(workload_of(seed, it))));
+    auto variants = run_each(on_and_off(), seed, with_overload);
     auto out = finish("overload", seed, std::move(variants));
     const auto& seen = out.variants.front().figures;
     const auto figure = [&seen](const std::string& name)
@@ -173,9 +180,7 @@
 
 experiment_report lying_load(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : on_and_off())
-        variants.push_back(run(with_lying_load(workload_of(seed, it))));
+    auto variants = run_each(on_and_off(), seed, with_lying_load);
     auto out = finish("lying-load", seed, std::move(variants));
     out.bounds.push_back({"all on: p99, ms",
                           latency_at(out.variants.front().latencies, 0.99),
@@ -198,9 +203,7 @@
 
 experiment_report fail_fast(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : on_and_off())
-        variants.push_back(run(with_fail_fast(workload_of(seed, it))));
+    auto variants = run_each(on_and_off(), seed, with_fail_fast);
     auto out = finish("fail-fast", seed, std::move(variants));
     out.bounds.push_back({"all on: share of shards lacking",
                           1 - out.variants.front().coverage, 0});
@@ -223,9 +226,7 @@
 
 experiment_report leaf_loss(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : on_and_off())
-        variants.push_back(run(with_leaf_loss(workload_of(seed, it))));
+    auto variants = run_each(on_and_off(), seed, with_leaf_loss);
     return finish("leaf-loss", seed, std::move(variants));
 }
 
@@ -260,9 +261,7 @@
 
 experiment_report epoch_change(std::uint64_t seed)
 {
-    std::vector<measurement> variants;
-    for (const auto& it : on_and_off())
-        variants.push_back(run(with_epoch_changes(workload_of(seed, it))));
+    auto variants = run_each(on_and_off(), seed, with_epoch_changes);
     return finish("epoch-change", seed, std::move(variants));
 }
 
--- a/lib/load/http_load.cpp
+++ b/lib/load/http_load.cpp
@@ -2,6 +2,7 @@
 // and outcomes.
 #include "mimosacroft/load/http_load.hpp"
 
+#include "mimosacroft/base/text.hpp"
 #include "mimosacroft/load/measurement.hpp"
 #include "mimosacroft/net/blocking_http.hpp"
 
@@ -72,20 +73,6 @@
     std::uint64_t wrong = 0;
 };
 
-std::vector<std::string> split(const std::string& text)
-{
-    std::vector<std::string> out;
-    std::string part;
-    for (const char c : text + ",")
-    {
-        if (c != ',')
-            part += c;
-        else if (!part.empty())
-            out.push_back(std::exchange(part, {}));
-    }
-    return out;
-}
-
 // Whether an answer is the one to this request: each result must echo it and
 // state the answer's epoch and its own shard, and the counts must agree.
 bool is_true_answer(const json& answer, const std::string& query)
@@ -136,7 +123,7 @@
 void send_some(const daemon::settings& s, std::atomic<std::int64_t>& left,
                std::size_t client, report& all)
 {
-    const auto servers = split(s.text("servers"));
+    const auto servers = base::split(s.text("servers"), ',');
     const base::milliseconds deadline(s.number("deadline-ms"));
     std::vector<net::kept_connection> connections;
     for (const auto& it : servers)
--- a/lib/model/schema.cpp
+++ b/lib/model/schema.cpp
@@ -1,6 +1,7 @@
 // The schema of the resources.
 #include "mimosacroft/model/schema.hpp"
 
+#include "mimosacroft/base/text.hpp"
 #include "mimosacroft/model/object_reader.hpp"
 
 #include <algorithm>
@@ -18,18 +19,6 @@
 constexpr std::uint64_t max_epoch = 1ULL << 53; // exact in JSON
 constexpr std::size_t token_hash_digits = 64;
 
-bool is_address(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
-        return false;
-    const auto port = text.substr(colon + 1);
-    return port.size() <= 5 &&
-           std::ranges::all_of(port,
-                               [](char c) { return c >= '0' && c <= '9'; }) &&
-           std::stoi(port) >= 1 && std::stoi(port) <= 65535;
-}
-
 bool is_token_hash(const std::string& text)
 {
     return text.size() == token_hash_digits &&
@@ -70,7 +59,7 @@
     server out;
     out.name = in.name("name");
     out.address = in.text("address");
-    if (!out.address.empty() && !is_address(out.address))
+    if (!out.address.empty() && !base::is_address(out.address))
         in.complain("address", out.address, "ip:port");
     out.leaving = in.flag_or("leaving", false);
     return out;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -34,10 +34,7 @@
 {
     if (refuses_searches_)
     {
-        query::search_answer refused;
-        refused.ticket = request.ticket;
-        refused.search = request.search;
-        refused.trace = request.trace;
+        auto refused = query::blank_answer(request);
         refused.outcome = model::outcome::not_run;
         refused.error = "this VM is stopping";
         answers_.push_back(std::move(refused));
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -1,6 +1,8 @@
 // The root of queries.
 #include "mimosacroft/query/root.hpp"
 
+#include "mimosacroft/base/stable_hash.hpp"
+
 #include <algorithm>
 
 namespace mimosacroft::query
@@ -28,10 +30,7 @@
 // Selects a shard by a key; the same for every VM and library.
 std::size_t shard_of_key(const std::string& key, std::size_t shards)
 {
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char c : key)
-        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    return hash % shards;
+    return base::fnv1a(key) % shards;
 }
 
 /// A shard that waited longer than this part of the deadline is held up.
@@ -52,12 +51,12 @@
 {
 }
 
-void root::reject(const search_request& request, std::string why)
+// Ends a request of which nothing ran or will run.
+void root::refuse(const search_request& request, model::outcome outcome,
+                  std::string why)
 {
-    search_answer out;
-    out.ticket = request.ticket;
-    out.search = request.search;
-    out.trace = request.trace;
+    auto out = blank_answer(request);
+    out.outcome = outcome;
     out.error = std::move(why);
     answers_.push_back(std::move(out));
 }
@@ -113,26 +112,15 @@
     return std::nullopt;
 }
 
-// Nothing of the request ran or will run.
-void root::refuse(const search_request& request)
-{
-    search_answer out;
-    out.ticket = request.ticket;
-    out.search = request.search;
-    out.trace = request.trace;
-    out.outcome = model::outcome::not_run;
-    out.error = "the servers are overloaded, nothing ran";
-    answers_.push_back(std::move(out));
-}
-
 void root::start(search_request request, base::instant now, core::effects& out)
 {
     if (auto problem = problem_of(request))
-        return reject(request, std::move(*problem));
+        return refuse(request, model::outcome::rejected, std::move(*problem));
     const auto* search = fleet_.catalog().find_search(request.search);
     const base::milliseconds most(search->default_deadline_ms);
     if (!admission_.try_open(request.priority))
-        return refuse(request);
+        return refuse(request, model::outcome::not_run,
+                      "the servers are overloaded, nothing ran");
     admitted query;
     query.started = now;
     query.deadline = now + request.deadline.value_or(most);
@@ -163,7 +151,7 @@
     auto& query = taken.mapped();
     if (decision.verdict == claim_verdict::won)
         return run(std::move(query), now, out);
-    auto answer = blank_answer(query);
+    auto answer = blank_answer(query.request);
     answer.error = std::move(decision.why);
     switch (decision.verdict)
     {
@@ -206,7 +194,7 @@
             : problem_of(request);
     if (problem)
     {
-        auto answer = blank_answer(query);
+        auto answer = blank_answer(query.request);
         answer.outcome = query.ran_before ? model::outcome::unknown
                                           : model::outcome::not_run;
         answer.error = *problem;
@@ -216,7 +204,7 @@
     const auto* index = fleet_.catalog().find_index(search->index);
 
     open_query made;
-    made.answer = blank_answer(query);
+    made.answer = blank_answer(query.request);
     made.answer.epoch = index->epoch;
     made.answer.least_coverage =
         request.least_coverage.value_or(search->least_coverage);
@@ -240,15 +228,6 @@
     open_.emplace(id, std::move(made));
 }
 
-search_answer root::blank_answer(const admitted& query) const
-{
-    search_answer out;
-    out.ticket = query.request.ticket;
-    out.search = query.request.search;
-    out.trace = query.request.trace;
-    return out;
-}
-
 // Whether to run the whole query again at a newer epoch. The old answers are
 // given up: nothing is merged across epochs.
 bool root::may_restart(const open_query& query, const scatter_result& result,
--- a/lib/query/search.cpp
+++ b/lib/query/search.cpp
@@ -6,6 +6,15 @@
 namespace mimosacroft::query
 {
 
+search_answer blank_answer(const search_request& request)
+{
+    search_answer out;
+    out.ticket = request.ticket;
+    out.search = request.search;
+    out.trace = request.trace;
+    return out;
+}
+
 double coverage_of(const search_answer& answer)
 {
     const auto all = answer.included.size() + answer.lacking.size();
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -1,6 +1,7 @@
 // A small stand-in of the platform's object API: versions, conditional updates,
 // waiting reads of changes, and a list of entry VMs that lags. Its faults are
 // switched on by POST /standin/faults. Keeps everything in memory.
+#include "mimosacroft/base/text.hpp"
 #include "mimosacroft/daemon/serve.hpp"
 #include "mimosacroft/daemon/settings.hpp"
 #include "mimosacroft/net/blocking_http.hpp"
@@ -60,7 +61,7 @@
     std::string peer_address;
     bool listed = false;
     bool leaving = false;
-    base::instant seen; ///< last time it accepted a connection
+    base::instant seen{}; ///< last time it accepted a connection
 };
 
 struct faults
@@ -168,29 +169,15 @@
     bool closing_ = false;
 };
 
-std::vector<std::string> split(const std::string& text, char by)
-{
-    std::vector<std::string> out;
-    std::string part;
-    for (const char c : text + by)
-    {
-        if (c != by)
-            part += c;
-        else if (!part.empty())
-            out.push_back(std::exchange(part, {}));
-    }
-    return out;
-}
-
 // The list of VMs, which follows their real state with a lag.
 class vm_list
 {
 public:
     vm_list(const std::string& text, base::milliseconds lag) : lag_(lag)
     {
-        for (const auto& row : split(text, ';'))
+        for (const auto& row : base::split(text, ';'))
         {
-            const auto fields = split(row, ',');
+            const auto fields = base::split(row, ',');
             if (fields.size() == 3)
                 vms_.push_back({fields[0], fields[1], fields[2]});
         }
@@ -283,7 +270,7 @@
 private:
     wire::http_reply serve(const wire::http_request& request)
     {
-        const auto parts = split(request.path, '/');
+        const auto parts = base::split(request.path, '/');
         if (request.path == "/v1/changes")
             return store_.changes(number(request, "after"),
                                   number(request, "wait_ms"),
