--- a/lib/base/text.cpp
+++ b/lib/base/text.cpp
@@ -37,8 +37,9 @@
         return false;
     const auto port = text.substr(colon + 1);
     unsigned n = 0;
-    const auto* end = port.data() + port.size();
-    const auto done = std::from_chars(port.data(), end, n);
+    const char* const begin = port.data();
+    const char* const end = begin + port.size();
+    const auto done = std::from_chars(begin, end, n);
     return port.size() <= max_port_digits && done.ec == std::errc() &&
            done.ptr == end && n >= 1 && n <= max_port;
 }
