Ask VMs that lag for their version while an operator waits

A VM told its applied version only by digests to random peers. With one of three VMs paused, the server misses a healthy VM's word for a second with chance 1/4, so for the 5 s of the wait with 1 in 1,024 if no second is lost, and in more cases on a busy machine.

Ruled out: an acknowledgement for each pushed change (it costs every VM for each change, and a lost one needs digests again); gossip in turns (two seconds near, but minutes at 580 members).

Before: agents.a_vm_that_asks_hears_who_has_a_version_in_force failed with ask_behind() sending nothing.

Conclusion: the server's word no longer depends on random choice.

--- a/include/mimosacroft/base/text.hpp
+++ b/include/mimosacroft/base/text.hpp
@@ -2,6 +2,8 @@
 #ifndef MIMOSACROFT_BASE_TEXT_HPP
 #define MIMOSACROFT_BASE_TEXT_HPP
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +14,9 @@
 /// The parts of a text between separators, without empty ones.
 std::vector<std::string> split(std::string_view text, char by);
 
+/// A whole number in decimal digits and nothing else.
+std::optional<std::uint64_t> to_number(std::string_view text);
+
 /// Whether a text is "ip:port" with a port from 1 to 65535. The part before the
 /// port is not looked at.
 bool is_address(std::string_view text);
--- a/include/mimosacroft/daemon/operator_api.hpp
+++ b/include/mimosacroft/daemon/operator_api.hpp
@@ -21,8 +21,11 @@
 wire::http_reply handle_resources(runtime& rt, const operator_options& options,
                                   const wire::http_request& request);
 
-/// Handles GET /v1/status: the fleet as this VM sees it.
-wire::http_reply handle_status(runtime& rt);
+/// Handles GET /v1/status: the fleet as this VM sees it. With ?version=N and
+/// the operators' token, VMs not known to hold that version are asked for
+/// theirs; what they answer shows in the next status.
+wire::http_reply handle_status(runtime& rt, const operator_options& options,
+                               const wire::http_request& request);
 
 /// Handles GET /v1/traces/ID.
 wire::http_reply handle_trace(runtime& rt, const operator_options& options,
--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -67,6 +67,9 @@
     /// is in flight any more.
     void drain(base::milliseconds grace, std::function<void()> fn);
 
+    /// See fleet::agent::ask_behind(). Only on the loop's thread.
+    void ask_behind(std::uint64_t version);
+
     /// Only on the loop's thread.
     const node::node& node() const { return node_; }
     const net::peer_counters& peer_counters() const
--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -110,6 +110,11 @@
         return draining_.contains(vm);
     }
 
+    /// Asks the VMs that are not known to hold a version of the configuration,
+    /// so that peers() tells soon which of them do.
+    void ask_behind(std::uint64_t version, base::instant now,
+                    core::effects& out);
+
     /// When the platform answered last; never if it has not.
     base::instant platform_heard() const { return platform_.heard(); }
     bool platform_ok() const { return platform_.ok(); }
@@ -199,6 +204,8 @@
     base::instant next_view_;
     base::instant next_gossip_;
     base::instant next_repair_; ///< no full exchange with a peer before
+    base::instant next_ask_;    ///< no ask_behind() before
+    std::size_t asked_ = 0;     ///< where the next ask_behind() goes on
 };
 
 } // namespace mimosacroft::fleet
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -47,6 +47,12 @@
     bool draining() const { return draining_; }
     /// Answers new searches with not_run from now on.
     void refuse_searches() { refuses_searches_ = true; }
+    /// See fleet::agent::ask_behind().
+    void ask_behind(std::uint64_t version, base::instant now,
+                    core::effects& out)
+    {
+        fleet_.ask_behind(version, now, out);
+    }
     /// Nothing is in flight.
     bool idle() const;
 
--- a/lib/base/text.cpp
+++ b/lib/base/text.cpp
@@ -30,18 +30,25 @@
     return out;
 }
 
+std::optional<std::uint64_t> to_number(std::string_view text)
+{
+    std::uint64_t out = 0;
+    const char* const begin = text.data();
+    const char* const end = begin + text.size();
+    const auto done = std::from_chars(begin, end, out);
+    if (done.ec != std::errc() || done.ptr != end)
+        return std::nullopt;
+    return out;
+}
+
 bool is_address(std::string_view text)
 {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0)
         return false;
     const auto port = text.substr(colon + 1);
-    unsigned n = 0;
-    const char* const begin = port.data();
-    const char* const end = begin + port.size();
-    const auto done = std::from_chars(begin, end, n);
-    return port.size() <= max_port_digits && done.ec == std::errc() &&
-           done.ptr == end && n >= 1 && n <= max_port;
+    const auto n = to_number(port);
+    return port.size() <= max_port_digits && n && *n >= 1 && *n <= max_port;
 }
 
 } // namespace mimosacroft::base
--- a/lib/daemon/operator_api.cpp
+++ b/lib/daemon/operator_api.cpp
@@ -2,9 +2,11 @@
 #include "mimosacroft/daemon/operator_api.hpp"
 
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/base/text.hpp"
 #include "mimosacroft/daemon/caller_api.hpp"
 #include "mimosacroft/daemon/status_page.hpp"
 #include "mimosacroft/model/schema.hpp"
+#include "mimosacroft/net/http_server.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -174,9 +176,23 @@
                    "allowed are GET, PUT and DELETE");
 }
 
-wire::http_reply handle_status(runtime& rt)
+wire::http_reply handle_status(runtime& rt, const operator_options& options,
+                               const wire::http_request& request)
 {
-    return json_reply(rt.call([&] { return status_json(rt); }));
+    const auto text = net::query_parameter(request.query, "version");
+    const auto version = base::to_number(text);
+    if (!text.empty() && !version)
+        return refusal(status_bad_request,
+                       "version: found \"" + text + "\", allowed is a number");
+    if (version && !is_operator(options, request))
+        return refusal(status_unauthorized, "the operators' token is needed");
+    return json_reply(rt.call(
+        [&]
+        {
+            if (version)
+                rt.ask_behind(*version);
+            return status_json(rt);
+        }));
 }
 
 wire::http_reply handle_trace(runtime& rt, const operator_options& options,
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -250,6 +250,12 @@
     return done.get_future().get();
 }
 
+void runtime::ask_behind(std::uint64_t version)
+{
+    step([this, version](base::instant t, core::effects& out)
+         { node_.ask_behind(version, t, out); });
+}
+
 void runtime::drain(base::milliseconds grace, std::function<void()> fn)
 {
     loop_.post(
--- a/lib/daemon/settings.cpp
+++ b/lib/daemon/settings.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -23,16 +22,6 @@
                       std::move(text));
 }
 
-std::optional<std::uint64_t> to_number(const std::string& text)
-{
-    std::uint64_t out = 0;
-    const auto* end = text.data() + text.size();
-    const auto done = std::from_chars(text.data(), end, out);
-    if (done.ec != std::errc() || done.ptr != end)
-        return std::nullopt;
-    return out;
-}
-
 std::string allowed_by(const setting_spec& spec)
 {
     switch (spec.kind)
@@ -58,7 +47,7 @@
     {
     case setting_kind::number:
     {
-        const auto n = to_number(text);
+        const auto n = base::to_number(text);
         return n && *n >= spec.least && *n <= spec.most;
     }
     case setting_kind::address:
@@ -140,7 +129,7 @@
 
 std::uint64_t settings::number(const std::string& name) const
 {
-    return to_number(text(name)).value_or(0);
+    return base::to_number(text(name)).value_or(0);
 }
 
 bool settings::flag(const std::string& name) const
--- a/lib/fleet/agent_gossip.cpp
+++ b/lib/fleet/agent_gossip.cpp
@@ -23,6 +23,10 @@
 /// Pause between two full exchanges with peers whose objects differ.
 constexpr base::seconds repair_pause{10};
 
+/// Pause between two rounds of asking VMs for their version, and VMs in each.
+constexpr base::milliseconds ask_pause{500};
+constexpr std::size_t max_asked = 128;
+
 /// VMs outside the list that are remembered.
 constexpr std::size_t max_strangers = 64;
 
@@ -103,6 +107,26 @@
     send(vm, make_digest(sequence, false, now), out);
 }
 
+void agent::ask_behind(std::uint64_t version, base::instant now,
+                       core::effects& out)
+{
+    if (now < next_ask_)
+        return;
+    next_ask_ = now + ask_pause;
+    const auto& all = view_.entries();
+    std::size_t n = 0;
+    // Turns go round the list, so that VMs which never answer block no other.
+    for (std::size_t k = 0; k < all.size() && n < max_asked; ++k)
+    {
+        const auto& vm = all[asked_++ % all.size()].vm;
+        const auto* known = members_.find(vm);
+        if (vm == options_.vm || (known && known->config_version >= version))
+            continue;
+        probe(vm, now, out);
+        ++n;
+    }
+}
+
 wire::digest agent::make_digest(std::uint64_t sequence, bool ack,
                                 base::instant now) const
 {
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -75,7 +75,9 @@
     {
         wire::http_request out;
         out.method = method;
-        out.path = path;
+        out.path = path.substr(0, path.find('?'));
+        if (out.path.size() < path.size())
+            out.query = path.substr(out.path.size() + 1);
         out.body = body;
         out.headers["authorization"] = "Bearer " + token_;
         if (!version.empty())
@@ -355,7 +357,8 @@
     std::string lagging;
     do
     {
-        const auto reply = to.call("GET", "/v1/status");
+        const auto reply =
+            to.call("GET", "/v1/status?version=" + std::to_string(version));
         if (!reply || reply->status != 200)
             return complain("the status cannot be read");
         lagging.clear();
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -204,7 +204,7 @@
     if (path.starts_with("/v1/traces/"))
         return daemon::handle_trace(rt, options, request);
     if (path == "/v1/status")
-        return daemon::handle_status(rt);
+        return daemon::handle_status(rt, options, request);
     if (path == "/metrics")
         return plain(200, rt.metrics().render());
     if (path == "/ready")
--- a/unittests/base/text_test.cpp
+++ b/unittests/base/text_test.cpp
@@ -14,6 +14,15 @@
     CHECK(base::split("", ',').empty());
 }
 
+TEST(text, reads_whole_numbers_only)
+{
+    CHECK(base::to_number("0") == 0U);
+    CHECK(base::to_number("18446744073709551615") == UINT64_MAX);
+    for (const auto* it :
+         {"", " 1", "1 ", "-1", "+1", "0x1", "1.5", "18446744073709551616"})
+        CHECK_FALSE(base::to_number(it).has_value());
+}
+
 TEST(text, knows_an_address)
 {
     CHECK(base::is_address("127.0.0.1:1"));
--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -226,4 +226,13 @@
     LONGS_EQUAL(1, bad.code);
     STRCMP_CONTAINS("spec.index: found 7, allowed is", bad.text.c_str());
     LONGS_EQUAL(2, ctl(fleet, 0, {"aply"}).code);
+    const auto status = [&fleet](const std::string& query)
+    {
+        return net::exchange(fleet.vm_http(0),
+                             {"GET", "/v1/status", query, {}, ""},
+                             base::seconds(10))
+            ->status;
+    };
+    LONGS_EQUAL(400, status("version=x"));
+    LONGS_EQUAL(401, status("version=1"));
 }
--- a/unittests/fleet/agent_test.cpp
+++ b/unittests/fleet/agent_test.cpp
@@ -58,6 +58,26 @@
 
 TEST_GROUP(agents){};
 
+// A whole second passes before the next digests, so that only asking tells.
+TEST(agents, a_vm_that_asks_hears_who_has_a_version_in_force)
+{
+    virtual_fleet all(9, 3, 1);
+    start_all(all);
+    all.run(base::seconds(10));
+    const auto version =
+        all.platform.put("search", "wait", search_value("wait", 100));
+    all.changed();
+    while (holders(all, "wait", version) < all.members.size())
+        all.run(base::milliseconds(10));
+    all.pause(5);
+    all.with(0, [&](fleet::agent& it, core::effects& out)
+             { it.ask_behind(version, all.now, out); });
+    all.run(base::milliseconds(100));
+    for (const auto& [vm, it] : all.members[0].agent->peers())
+        if (vm != all.members[5].agent->options().vm)
+            CHECK(it.config_version >= version);
+}
+
 TEST(agents, a_change_is_in_force_everywhere_and_only_watchers_call)
 {
     virtual_fleet all(18, 3, 1);
