Leaving marks: reach all VMs by pushes, end in time, bar no live server

Cause, found by tests that failed first: - A mark pushed to one VM of another data centre stopped there; the rest learned only by digests. leaving.pushes_alone_reach_all_vms_of_all_data_centres (digests off): 6 of 12 VMs after 1 s. The VM that gets a recent mark from another data centre now pushes it to its neighbours, as with configuration. - The age of a mark was rounded down at each hop, so that two VMs which pass it to and fro kept it beyond its retention, without end (leaving_set.a_mark_that_two_vms_pass_to_and_fro_ends). It is rounded up, as the member table does. - The late answer of a server's earlier process, heard of for the first time after the new process had answered, made the earlier one current; the new one was "seen before" and never current again, so a mark on the old process barred the new one for an hour, probes or not (leaving_set.a_late_word_of_an_unknown_incarnation_does_not_bar). The time at which a call was sent now orders what servers say: the call sent last tells the current incarnation. Late words neither bar nor re-admit.

Ruled out: "seen again becomes current again" (a late answer of the old process would re-admit a leaving server).

--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -94,13 +94,14 @@
                     const std::string& incarnation) const;
     /// The same for the incarnation of the server that was heard of last.
     bool is_leaving(const std::string& server) const;
-    /// Notes the incarnation that a server stated in a reply.
+    /// Notes the incarnation that a server stated in reply to a call that was
+    /// sent at `asked`.
     void note_incarnation(const std::string& server,
-                          const std::string& incarnation);
-    /// Learns from a server itself that it takes no new work. Peers are told
+                          const std::string& incarnation, base::instant asked);
+    /// Learns in the same way that the server takes no new work. Peers are told
     /// with the next tick, which is due at once.
-    void mark_leaving(const std::string& server,
-                      const std::string& incarnation);
+    void mark_leaving(const std::string& server, const std::string& incarnation,
+                      base::instant asked);
 
     /// Learns that a peer's process stops and takes no new forwards.
     void note_draining(const std::string& vm, std::uint64_t incarnation);
--- a/include/mimosacroft/fleet/leaving_set.hpp
+++ b/include/mimosacroft/fleet/leaving_set.hpp
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,10 +25,10 @@
     /// Adds a mark; false if it is known or past its retention.
     bool add(const wire::leaving_mark& mark, base::instant now);
 
-    /// Notes an incarnation that a server stated itself. One that was stated
-    /// before does not become the current one again.
+    /// Notes an incarnation that a server stated itself in reply to a call that
+    /// was sent at `asked`. The call that was sent last tells the current one.
     void note_incarnation(const std::string& server,
-                          const std::string& incarnation);
+                          const std::string& incarnation, base::instant asked);
 
     bool contains(const std::string& server,
                   const std::string& incarnation) const
@@ -54,15 +53,15 @@
 private:
     using key = std::pair<std::string, std::string>; // server, incarnation
 
-    struct incarnations
+    struct statement
     {
-        std::string current;
-        std::set<std::string> seen; ///< contains `current`
+        std::string incarnation;
+        base::instant asked; ///< only grows
     };
 
-    std::map<key, base::instant> marks_; ///< since when
-    std::map<std::string, incarnations> servers_;
-    std::uint64_t fingerprint_ = 0; ///< over marks_
+    std::map<key, base::instant> marks_;       ///< since when
+    std::map<std::string, statement> current_; ///< by server
+    std::uint64_t fingerprint_ = 0;            ///< over marks_
 };
 
 } // namespace mimosacroft::fleet
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -212,7 +212,7 @@
                       core::effects& out);
     void note_server(const std::string& server, const std::string& incarnation,
                      bool leaving, std::optional<double> load,
-                     base::instant now);
+                     base::instant asked, base::instant now);
     void end_copy(const open_call& call, const task_key& key,
                   const copy_end& how, base::instant now, core::effects& out);
     bool may_retry(const task_key& key, const open_call& call,
--- a/lib/fleet/agent_gossip.cpp
+++ b/lib/fleet/agent_gossip.cpp
@@ -219,15 +219,16 @@
 }
 
 void agent::note_incarnation(const std::string& server,
-                             const std::string& incarnation)
+                             const std::string& incarnation,
+                             base::instant asked)
 {
-    leaving_.note_incarnation(server, incarnation);
+    leaving_.note_incarnation(server, incarnation, asked);
 }
 
 void agent::mark_leaving(const std::string& server,
-                         const std::string& incarnation)
+                         const std::string& incarnation, base::instant asked)
 {
-    leaving_.note_incarnation(server, incarnation);
+    leaving_.note_incarnation(server, incarnation, asked);
     if (leaving_.add({server, incarnation, 0}, latest_))
         unsent_marks_.push_back({server, incarnation, 0});
 }
@@ -250,9 +251,20 @@
                        const std::string& from, base::instant now,
                        core::effects& out)
 {
+    // Older marks that this VM lacked are known to its neighbours, most likely.
+    wire::leaving_push news;
     for (const auto& it : marks)
-        if (leaving_.add(it, now))
-            out.emplace_back(leaving_event(it, from));
+    {
+        if (!leaving_.add(it, now))
+            continue;
+        out.emplace_back(leaving_event(it, from));
+        if (base::seconds(it.age_s) <= recent_marks)
+            news.marks.push_back(it);
+    }
+    if (news.marks.empty() || !is_foreign(from))
+        return;
+    for (const auto& vm : neighbours())
+        send(vm, news, out);
 }
 
 } // namespace mimosacroft::fleet
--- a/lib/fleet/leaving_set.cpp
+++ b/lib/fleet/leaving_set.cpp
@@ -11,14 +11,11 @@
 namespace
 {
 
-/// Incarnations of one server that are remembered.
-constexpr std::size_t max_incarnations = 64;
-
+/// Rounded up, so that a mark never gets younger by being passed on.
 std::uint32_t age_in_seconds(base::instant since, base::instant now)
 {
-    using std::chrono::duration_cast;
-    return static_cast<std::uint32_t>(
-        duration_cast<base::seconds>(now - since).count());
+    using std::chrono::ceil;
+    return static_cast<std::uint32_t>(ceil<base::seconds>(now - since).count());
 }
 
 } // namespace
@@ -34,22 +31,19 @@
 }
 
 void leaving_set::note_incarnation(const std::string& server,
-                                   const std::string& incarnation)
+                                   const std::string& incarnation,
+                                   base::instant asked)
 {
-    auto& it = servers_[server];
-    if (it.current == incarnation || it.seen.contains(incarnation))
-        return;
-    if (it.seen.size() >= max_incarnations)
-        it.seen.clear();
-    it.seen.insert(incarnation);
-    it.current = incarnation;
+    const auto it = current_.find(server);
+    if (it == current_.end() || it->second.asked <= asked)
+        current_[server] = {incarnation, asked};
 }
 
 bool leaving_set::bars(const std::string& server) const
 {
-    const auto it = servers_.find(server);
-    if (it != servers_.end())
-        return contains(server, it->second.current);
+    const auto it = current_.find(server);
+    if (it != current_.end())
+        return contains(server, it->second.incarnation);
     const auto mark = marks_.lower_bound({server, {}});
     return mark != marks_.end() && mark->first.first == server;
 }
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -442,7 +442,7 @@
         const auto health = reply ? decode_health(*reply) : std::nullopt;
         if (health)
             note_server(server, health->incarnation, health->leaving,
-                        health->load, now);
+                        health->load, next_probe_ - probe_period, now);
         return;
     }
     const auto it = calls_.find(id);
@@ -473,7 +473,7 @@
     else if (const auto refusal = decode_refusal(*reply))
     {
         note_server(call.server, refusal->incarnation, refusal->leaving, {},
-                    now);
+                    call.sent, now);
         take_failure(call, {refused, false, true},
                      "refused before start: " + refusal->reason, now, out);
     }
@@ -533,19 +533,21 @@
 
 void leaf::note_server(const std::string& server,
                        const std::string& incarnation, bool leaving,
-                       std::optional<double> load, base::instant now)
+                       std::optional<double> load, base::instant asked,
+                       base::instant now)
 {
     chooser_.on_report(server, load, incarnation, now);
     if (!incarnation.empty())
-        fleet_.note_incarnation(server, incarnation);
+        fleet_.note_incarnation(server, incarnation, asked);
     if (leaving && !incarnation.empty())
-        fleet_.mark_leaving(server, incarnation);
+        fleet_.mark_leaving(server, incarnation, asked);
 }
 
 void leaf::take_reply(const open_call& call, const upstream_reply& reply,
                       base::instant now, core::effects& out)
 {
-    note_server(call.server, reply.incarnation, reply.leaving, reply.load, now);
+    note_server(call.server, reply.incarnation, reply.leaving, reply.load,
+                call.sent, now);
     auto missing = call.tasks;
     bool any_ok = false;
     bool any_bad = false;
