A platform that comes back older: its list is taken up, its changes read

The whole list is read and compared after a failed call, after 2 s without an answer, and while it is older. The watch starts again from the beginning after 2 s without an answer. A list whose version is 10^12 or more is refused.

Ruled out: taking any older answer (a lagging replica would move owners). Configuration still never reverts.

--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -45,6 +45,8 @@
     base::milliseconds platform_retry{500};
     /// A VM watches for itself when its view was not confirmed for this long.
     base::milliseconds watcher_silence{4000};
+    /// An older list of the platform is taken up when it stays for this long.
+    base::milliseconds older_list_wait{10'000};
 };
 
 class agent
@@ -148,6 +150,10 @@
     // Configuration and views.
     bool apply(const wire::config_entry& entry, bool by_platform,
                core::effects& out);
+    bool take_list(const wire::view_push& list, base::instant now,
+                   core::effects& out);
+    bool take_older_list(const wire::view_push& list, base::instant now,
+                         core::effects& out);
     void take_view(fleet::view next, base::instant now, core::effects& out);
     void push_config(const wire::config_push& news, core::effects& out);
     void push_view(core::effects& out);
@@ -196,7 +202,10 @@
     std::map<std::uint64_t, open_call> calls_; ///< at most one of each kind
     /// Addresses of VMs that are in no list, by what they said themselves.
     std::map<std::string, std::string> strangers_;
-    bool view_older_ = false; ///< the platform's list is older than view_
+    /// Since when the platform's list is older than view_; never if it is not.
+    base::instant list_older_ = base::never;
+    /// When the platform's list was read last; never if a call failed since.
+    base::instant list_read_ = base::never;
     std::uint64_t sequence_ = 0;
     std::uint64_t heartbeat_ = 0;
     base::instant latest_;                ///< time of the latest input
--- a/include/mimosacroft/fleet/watch_cursor.hpp
+++ b/include/mimosacroft/fleet/watch_cursor.hpp
@@ -2,7 +2,9 @@
 // from a replica that lags, or come back older after an outage. The first is
 // ignored. For the second the watch starts again from the beginning, so that it
 // does not wait for versions that the older store will not reach for long;
-// what the VM holds stays in force, since objects are compared one by one.
+// what the VM holds stays in force, since objects are compared one by one. It
+// starts again too when the platform was away for a while: an older store may
+// have passed the version by then.
 #ifndef MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
 #define MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
 
@@ -23,7 +25,14 @@
 {
 public:
     /// The version after which changes are asked for.
-    std::uint64_t after() const { return after_; }
+    std::uint64_t after() const { return from_start_ ? 0 : after_; }
+
+    /// The next call asks for everything.
+    void restart()
+    {
+        from_start_ = true;
+        stale_ = 0;
+    }
 
     /// An answer that was older is asked for again at once.
     bool in_doubt() const { return stale_ > 0; }
@@ -35,13 +44,13 @@
         {
             stale_ = 0;
             after_ = version;
+            from_start_ = from_start_ && asked > 0;
             return watch_answer::current;
         }
         if (++stale_ < answers_until_older)
             return stale_ == 1 ? watch_answer::first_stale
                                : watch_answer::stale;
-        stale_ = 0;
-        after_ = 0;
+        restart();
         return watch_answer::store_older;
     }
 
@@ -49,6 +58,7 @@
     static constexpr unsigned answers_until_older = 3;
 
     std::uint64_t after_ = 0;
+    bool from_start_ = true;
     unsigned stale_ = 0; ///< stale answers in a row
 };
 
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -17,6 +17,15 @@
 /// When a call is tried again that the budget did not allow.
 constexpr base::milliseconds budget_retry{250};
 
+/// After such a time without an answer the platform is read from the beginning,
+/// since a store that came back older may have passed the versions known here.
+constexpr base::seconds reread_after{2};
+
+/// Versions of the platform's list in one generation. The version of a view is
+/// the platform's plus one span for each older list that was taken up, so that
+/// views have one order.
+constexpr std::uint64_t generation_span = 1'000'000'000'000;
+
 constexpr auto watched_kinds = "search,upstream,index,rule";
 
 platform_options platform_options_of(const agent_options& it)
@@ -44,6 +53,12 @@
              {"version", std::to_string(entry.version)}}};
 }
 
+core::log_event refused_reply(const std::string& reason)
+{
+    return {core::event_id::platform_reply_refused,
+            {{"step", "receive"}, {"reason", reason}}};
+}
+
 } // namespace
 
 agent::agent(agent_options options, std::uint64_t seed)
@@ -111,9 +126,14 @@
                            wait, now, out);
     }
     else
-        id =
-            platform_.get("/v1/vms", "after=" + std::to_string(view_.version()),
-                          base::milliseconds(0), now, out);
+    {
+        const bool sure = list_read_ != base::never &&
+                          list_older_ == base::never &&
+                          now - list_read_ <= reread_after;
+        const auto after = sure ? view_.version() % generation_span : 0;
+        id = platform_.get("/v1/vms", "after=" + std::to_string(after),
+                           base::milliseconds(0), now, out);
+    }
     next = id == 0 ? now + budget_retry : base::never;
     if (id != 0)
         calls_[id] = {kind, now, cursor_.after()};
@@ -129,8 +149,13 @@
     const auto call = it->second;
     calls_.erase(it);
     const bool ok = reply && reply->status == 200;
-    platform_.note_reply(ok, now, out);
     const bool watch = call.kind == request_kind::watch;
+    const auto heard = platform_.heard();
+    if (ok && heard != base::never && now - heard > reread_after)
+        cursor_.restart();
+    if (!ok && !watch)
+        list_read_ = base::never;
+    platform_.note_reply(ok, now, out);
     if (ok && watch)
         take_changes(call, reply->body, now, out);
     else if (ok)
@@ -149,12 +174,7 @@
 {
     const auto parsed = parse_changes(body);
     if (!parsed)
-    {
-        out.emplace_back(core::log_event{
-            core::event_id::platform_reply_refused,
-            {{"step", "receive"}, {"reason", parsed.error().text}}});
-        return;
-    }
+        return out.push_back(refused_reply(parsed.error().text));
     const bool first = store_.through() == 0;
     wire::config_push news;
     news.from = store_.last_change(store_.through());
@@ -186,35 +206,58 @@
 void agent::take_vms(const open_call& call, const std::string& body,
                      base::instant now, core::effects& out)
 {
-    auto parsed = parse_vms(body);
+    const auto parsed = parse_vms(body);
     if (!parsed)
-    {
-        out.emplace_back(core::log_event{
-            core::event_id::platform_reply_refused,
-            {{"step", "receive"}, {"reason", parsed.error().text}}});
+        return out.push_back(refused_reply(parsed.error().text));
+    if (parsed->version >= generation_span)
+        return out.push_back(refused_reply("version of the list too large"));
+    list_read_ = now;
+    if (!take_list(*parsed, now, out))
         return;
-    }
-    const auto version = parsed->version;
+    list_older_ = base::never;
+    std::vector<view_lease::outgoing> answers;
+    lease_.on_platform(call.asked, now, answers);
+    send_lease(answers, out);
+}
+
+// Whether the list in use is the platform's now.
+bool agent::take_list(const wire::view_push& list, base::instant now,
+                      core::effects& out)
+{
+    const auto held = view_.version() % generation_span;
     // The list that was asked about may have been replaced meanwhile.
-    if (parsed->base != 0 && version != view_.version())
-        return;
-    const bool older = version < view_.version();
-    if (older && !view_older_)
+    if (list.base != 0)
+        return list.version == held;
+    const auto version = view_.version() - held + list.version;
+    fleet::view next(version, list.entries);
+    if (version == view_.version() && next.entries() == view_.entries())
+        return true;
+    if (version <= view_.version())
+        return take_older_list(list, now, out);
+    take_view(std::move(next), now, out);
+    push_view(out);
+    return true;
+}
+
+// A list without VMs says nothing about which ones are gone.
+bool agent::take_older_list(const wire::view_push& list, base::instant now,
+                            core::effects& out)
+{
+    if (list_older_ == base::never)
+    {
+        list_older_ = now;
         out.emplace_back(
             core::log_event{core::event_id::view_older,
-                            {{"version", std::to_string(version)},
+                            {{"version", std::to_string(list.version)},
                              {"in_use", std::to_string(view_.version())}}});
-    view_older_ = older;
-    if (version > view_.version())
-    {
-        take_view({version, std::move(parsed->entries)}, now, out);
-        push_view(out);
     }
-    if (version != view_.version())
-        return;
-    std::vector<view_lease::outgoing> answers;
-    lease_.on_platform(call.asked, now, answers);
-    send_lease(answers, out);
+    if (now - list_older_ < options_.older_list_wait || list.entries.empty())
+        return false;
+    const auto generation = view_.version() / generation_span + 1;
+    take_view({generation * generation_span + list.version, list.entries}, now,
+              out);
+    push_view(out);
+    return true;
 }
 
 void agent::on_config(const wire::config_push& msg, base::instant now,
--- /dev/null
+++ b/unittests/fleet/older_list_test.cpp
@@ -0,0 +1,160 @@
+// Tests of a list of VMs that comes back older: the platform was restored from
+// a copy, or restarted without its versions.
+#include "virtual_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace mimosacroft;
+using namespace mimosacroft::tests;
+using base::seconds;
+
+namespace
+{
+
+nlohmann::json upstream_value()
+{
+    return {{"kind", "upstream"},
+            {"name", "u"},
+            {"spec",
+             {{"data_centre", "dc-0"},
+              {"servers", {{{"name", "a"}, {"address", "127.0.0.1:3"}}}}}}};
+}
+
+} // namespace
+
+// Four VMs that have used version 10 of the list for a while.
+TEST_GROUP(older_list)
+{
+    virtual_fleet all{4, 1, 1};
+    std::vector<wire::view_entry> full;
+    std::uint64_t version_before = 0;
+
+    void setup() override
+    {
+        full = all.platform.vms;
+        all.platform.vms_version = 10;
+        all.platform.put("upstream", "u", upstream_value());
+        for (std::size_t n = 0; n < 4; ++n)
+            all.start(n);
+        all.run(seconds(10));
+        version_before = all.members[0].agent->view().version();
+    }
+
+    // The platform's list without its last VM, at a version.
+    void restore(std::uint64_t version)
+    {
+        all.platform.vms = full;
+        all.platform.vms.pop_back();
+        all.platform.vms_version = version;
+    }
+
+    // How many VMs use a list of this length.
+    long using_list_of(std::size_t vms) const
+    {
+        return std::ranges::count_if(
+            all.members, [&](const auto& it)
+            { return it.agent->view().entries().size() == vms; });
+    }
+
+    std::uint32_t slots() const
+    {
+        std::uint32_t out = 0;
+        for (const auto& it : all.members)
+            out += it.agent->ownership().usable("u", all.now).slots;
+        return out;
+    }
+};
+
+TEST(older_list, that_stays_is_taken_up_by_all)
+{
+    restore(3);
+    all.run(seconds(5));
+    LONGS_EQUAL(4, using_list_of(4));
+    all.run(seconds(15));
+    LONGS_EQUAL(3, using_list_of(3));
+    // The VM that is not in it finds out by itself.
+    all.run(seconds(15));
+    LONGS_EQUAL(4, using_list_of(3));
+    for (const auto& it : all.members)
+        CHECK(it.agent->view().version() > version_before);
+}
+
+TEST(older_list, serves_before_and_after_it_is_taken_up)
+{
+    restore(3);
+    all.run(seconds(8));
+    LONGS_EQUAL(2, slots());
+    all.run(seconds(20));
+    LONGS_EQUAL(2, slots());
+}
+
+TEST(older_list, changes_once_taken_up_like_any_other)
+{
+    restore(3);
+    all.run(seconds(20));
+    all.platform.set_vms(full);
+    all.run(seconds(5));
+    LONGS_EQUAL(4, using_list_of(4));
+}
+
+TEST(older_list, for_a_short_while_changes_nothing)
+{
+    const auto version = all.platform.vms_version;
+    restore(3);
+    all.run(seconds(5));
+    all.platform.vms = full;
+    all.platform.vms_version = version;
+    all.run(seconds(20));
+    LONGS_EQUAL(4, using_list_of(4));
+    LONGS_EQUAL(version_before, all.members[0].agent->view().version());
+}
+
+TEST(older_list, without_vms_is_not_taken_up)
+{
+    all.platform.vms.clear();
+    all.platform.vms_version = 1;
+    all.run(seconds(30));
+    LONGS_EQUAL(4, using_list_of(4));
+    LONGS_EQUAL(2, slots());
+}
+
+TEST(older_list, that_grew_unseen_to_the_same_version_is_told_apart)
+{
+    all.platform.down = true;
+    all.run(seconds(10));
+    restore(10);
+    all.platform.down = false;
+    all.run(seconds(30));
+    LONGS_EQUAL(4, using_list_of(3));
+}
+
+TEST(older_list, reaches_a_vm_that_starts_afterwards)
+{
+    restore(3);
+    all.run(seconds(20));
+    all.start(0);
+    all.run(seconds(5));
+    CHECK(all.members[0].agent->view().version() ==
+          all.members[1].agent->view().version());
+    LONGS_EQUAL(4, using_list_of(3));
+}
+
+TEST(older_list, may_come_back_older_again)
+{
+    restore(3);
+    all.run(seconds(20));
+    all.platform.vms = full;
+    all.platform.vms_version = 1;
+    all.run(seconds(20));
+    LONGS_EQUAL(4, using_list_of(4));
+}
+
+TEST(older_list, reaches_a_vm_that_is_cut_from_the_platform)
+{
+    all.passes = [](std::size_t from, std::size_t to)
+    { return (from != 0 || to != 4) && (from != 4 || to != 0); };
+    restore(3);
+    all.run(seconds(30));
+    LONGS_EQUAL(4, using_list_of(3));
+}
