--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
     base::milliseconds platform_retry{500};
     /// A VM watches for itself when its view was not confirmed for this long.
     base::milliseconds watcher_silence{4000};
+    /// An older list of the platform is taken up when it stays for this long.
+    base::milliseconds older_list_wait{10'000};
 };
 
 class agent
@@ -94,13 +97,14 @@
                     const std::string& incarnation) const;
     /// The same for the incarnation of the server that was heard of last.
     bool is_leaving(const std::string& server) const;
-    /// Notes the incarnation that a server stated in a reply.
+    /// Notes the incarnation that a server stated in reply to a call that was
+    /// sent at `asked`.
     void note_incarnation(const std::string& server,
-                          const std::string& incarnation);
-    /// Learns from a server itself that it takes no new work. Peers are told
+                          const std::string& incarnation, base::instant asked);
+    /// Learns in the same way that the server takes no new work. Peers are told
     /// with the next tick, which is due at once.
-    void mark_leaving(const std::string& server,
-                      const std::string& incarnation);
+    void mark_leaving(const std::string& server, const std::string& incarnation,
+                      base::instant asked);
 
     /// Learns that a peer's process stops and takes no new forwards.
     void note_draining(const std::string& vm, std::uint64_t incarnation);
@@ -151,6 +155,10 @@
     // Configuration and views.
     bool apply(const wire::config_entry& entry, bool by_platform,
                core::effects& out);
+    bool take_list(const wire::view_push& list, base::instant now,
+                   core::effects& out);
+    bool take_older_list(const wire::view_push& list, base::instant now,
+                         core::effects& out);
     void take_view(fleet::view next, base::instant now, core::effects& out);
     void push_config(const wire::config_push& news, core::effects& out);
     void push_view(core::effects& out);
@@ -168,6 +176,8 @@
     void mend_peer(const std::string& from, const wire::digest& msg,
                    base::instant now, core::effects& out);
     void probe(const std::string& vm, base::instant now, core::effects& out);
+    void tell_askers(const std::string& vm, base::instant now,
+                     core::effects& out);
     void take_marks(const std::vector<wire::leaving_mark>& marks,
                     const std::string& from, base::instant now,
                     core::effects& out);
@@ -189,13 +199,18 @@
     std::map<std::string, std::uint64_t> draining_; ///< VM to incarnation
     member_table members_;
     leaving_set leaving_;
+    /// Who doubts a VM that was probed for them in this gossip period.
+    std::map<std::string, std::set<std::string>> askers_;
     std::vector<wire::leaving_mark> unsent_marks_;
     platform_client platform_;
     watch_cursor cursor_;
     std::map<std::uint64_t, open_call> calls_; ///< at most one of each kind
     /// Addresses of VMs that are in no list, by what they said themselves.
     std::map<std::string, std::string> strangers_;
-    bool view_older_ = false; ///< the platform's list is older than view_
+    /// Since when the platform's list is older than view_; never if it is not.
+    base::instant list_older_ = base::never;
+    /// When the platform's list was read last; never if a call failed since.
+    base::instant list_read_ = base::never;
     std::uint64_t sequence_ = 0;
     std::uint64_t heartbeat_ = 0;
     base::instant latest_;                ///< time of the latest input
