--- a/unittests/query/root_test.cpp
+++ b/unittests/query/root_test.cpp
@@ -13,7 +13,7 @@
 {
     fleet::agent agent{options_of("vm-0", "oostende"), 1};
     query::scatter scatter{agent, 2};
-    query::claims claims{{.platform_address = "127.0.0.1:1"}, 3};
+    query::claims claims{{.vm = "vm-0", .platform_address = "127.0.0.1:1"}, 3};
     query::root root{agent, scatter, claims};
     core::effects out;
 
