Remove claims of old keys, with keys that state their time

Cause: nothing removed claims, so the platform's store grew by one object for each keyed request, and a removed claim would have made its key look new.

Change: a key may state its time (t, ten digits, -). Its claim is kept under a kind of its own, named in the order of time. Keys without a time work as before; their claims are kept for ever, unless the operators refuse such keys.

The platform stand-in lists a kind by name, dates its answers by a clock that can be set off, and counts objects in its stats. A watch of some kinds is no longer woken by objects of others: with 3 keyed requests a second the watches that claims woke (9 writes a second) used up the watchers' budgets.

--- a/include/mimosacroft/core/effects.hpp
+++ b/include/mimosacroft/core/effects.hpp
@@ -30,9 +30,10 @@
 /// The part of the core that made an HTTP call and gets its reply.
 enum class call_owner
 {
-    leaf,  ///< a call to an upstream
-    fleet, ///< configuration and membership, to the platform
-    claims ///< idempotency claims, to the platform
+    leaf,   ///< a call to an upstream
+    fleet,  ///< configuration and membership, to the platform
+    claims, ///< idempotency claims, to the platform
+    sweeper ///< removal of old claims, to the platform
 };
 
 /// An HTTP call to an upstream or the platform. Gets exactly one reply, or
--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -25,6 +25,8 @@
     claim_unclear = 210,
     claim_not_recorded = 211,
     claim_refused = 212,
+    claims_removed = 213,
+    clock_differs = 214,
     query_restarted = 220,
     // 300 to 399: work on upstreams.
     upstream_failed = 300,
@@ -77,6 +79,8 @@
     {event_id::claim_unclear, severity::warning, "claim_unclear"},
     {event_id::claim_not_recorded, severity::warning, "claim_not_recorded"},
     {event_id::claim_refused, severity::warning, "claim_refused"},
+    {event_id::claims_removed, severity::info, "claims_removed"},
+    {event_id::clock_differs, severity::warning, "clock_differs"},
     {event_id::query_restarted, severity::info, "query_restarted"},
     {event_id::upstream_failed, severity::warning, "upstream_failed"},
     {event_id::upstream_answer_refused, severity::warning,
--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -110,6 +110,11 @@
         return draining_.contains(vm);
     }
 
+    /// Whether another part may call the platform now, by this VM's budget.
+    bool take_spare_call(base::instant now)
+    {
+        return platform_.take_spare_call(now);
+    }
     /// When the platform answered last; never if it has not.
     base::instant platform_heard() const { return platform_.heard(); }
     bool platform_ok() const { return platform_.ok(); }
--- a/include/mimosacroft/fleet/platform_client.hpp
+++ b/include/mimosacroft/fleet/platform_client.hpp
@@ -33,6 +33,10 @@
                       base::milliseconds wait, base::instant now,
                       core::effects& out);
 
+    /// Whether a call that can wait may be made now: the latest one did not
+    /// fail and half of the burst is left to the others. Counts it if so.
+    bool take_spare_call(base::instant now);
+
     /// Notes how a call ended; logs when the platform is lost or back.
     void note_reply(bool ok, base::instant now, core::effects& out);
 
@@ -48,6 +52,7 @@
     std::uint64_t held_back() const { return held_back_; }
 
 private:
+    void refill(base::instant now);
     bool take_token(base::instant now);
 
     platform_options options_;
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -4,6 +4,7 @@
 #define MIMOSACROFT_NODE_NODE_HPP
 
 #include "mimosacroft/fleet/agent.hpp"
+#include "mimosacroft/query/claim_sweeper.hpp"
 #include "mimosacroft/query/leaf.hpp"
 #include "mimosacroft/query/root.hpp"
 #include "mimosacroft/query/scatter.hpp"
@@ -21,6 +22,9 @@
 {
     query::leaf_options leaf;
     query::admission_options admission;
+    base::seconds claim_retention{24 * 3600};
+    bool require_dated_keys = false;
+    base::seconds claim_sweep_period{60};
 };
 
 class node
@@ -38,6 +42,8 @@
     void on_http_reply(core::call_owner owner, std::uint64_t id,
                        const base::result<wire::http_reply>& reply,
                        base::instant now, core::effects& out);
+    /// The wall clock, in seconds since 1970.
+    void on_wall_clock(std::int64_t seconds, base::instant now);
     void on_tick(base::instant now, core::effects& out);
     base::instant next_wakeup() const;
 
@@ -56,6 +62,7 @@
     const fleet::agent& fleet() const { return fleet_; }
     const query::root& root() const { return root_; }
     const query::leaf& leaf() const { return leaf_; }
+    const query::claim_sweeper& claim_sweeper() const { return sweeper_; }
 
 private:
     /// A forward of another VM that this one passes on and merges.
@@ -86,6 +93,7 @@
     fleet::agent fleet_;
     query::scatter scatter_;
     query::claims claims_;
+    query::claim_sweeper sweeper_;
     query::root root_;
     query::leaf leaf_;
     std::map<std::uint64_t, relayed> relayed_; ///< by scatter job
--- a/include/mimosacroft/query/claims.hpp
+++ b/include/mimosacroft/query/claims.hpp
@@ -7,6 +7,7 @@
 
 #include "mimosacroft/core/effects.hpp"
 #include "mimosacroft/query/claim_codec.hpp"
+#include "mimosacroft/query/claim_key.hpp"
 
 #include <cstdint>
 #include <map>
@@ -26,8 +27,9 @@
     base::milliseconds call_timeout{500};
     base::milliseconds first_retry{25}; ///< doubles with each retry
     base::milliseconds longest_retry{800};
-    base::milliseconds record_time{5000}; ///< retries of a record or release
-    base::seconds retention{24 * 3600};
+    base::milliseconds record_time{5000};   ///< retries of a record or release
+    base::seconds retention{24 * 3600};     ///< of keys, for re-sends
+    bool require_dated_keys = false;        ///< refuses keys without a time
     std::size_t max_record_bytes = 900'000; ///< the platform holds a megabyte
 };
 
@@ -38,6 +40,8 @@
     std::string fingerprint;    ///< of what is asked with the key
     std::int64_t created_s = 0; ///< wall clock
     base::instant deadline;     ///< for the decision
+    /// The time that the key states; the claim is removed some day if it does.
+    std::optional<std::int64_t> key_s = {};
 };
 
 /// The name of the claim for a caller's key to a search.
@@ -51,7 +55,7 @@
     replay,   ///< an earlier request ended; its answer is given
     unknown,  ///< an earlier request has no recorded answer
     mismatch, ///< the key was used with another request
-    expired,  ///< the key is older than the retention
+    expired,  ///< the key is outside of the retention
     not_run   ///< the platform did not decide; this request will not run
 };
 
@@ -89,6 +93,7 @@
 
     /// Claims that are being decided, run, recorded or released.
     std::size_t open() const { return open_.size(); }
+    const claims_options& options() const { return options_; }
 
     std::vector<claim_decision> take_decisions();
     /// Claims for which nothing more is tried, recorded or not.
@@ -110,6 +115,7 @@
     {
         claim_request request;
         claim_record record;
+        base::instant started;
         claims::step step = step::create;
         std::uint64_t version = 0; ///< of the claim in the platform, once won
         bool maybe_created = false;
@@ -121,6 +127,23 @@
 
     using reply_result = base::result<wire::http_reply>;
 
+    /// What two clocks say of the time that a key states.
+    enum class key_time
+    {
+        valid,   ///< within the retention by both, or not stated
+        outside, ///< by both
+        disputed ///< by one of them
+    };
+
+    bool is_outside(const open_claim& it, std::int64_t clock_s) const;
+    std::int64_t own_clock_s(const open_claim& it, base::instant now) const;
+    key_time check_key(const open_claim& it, const reply_result& reply,
+                       base::instant now) const;
+    void win(std::uint64_t id, std::uint64_t version, key_time when,
+             base::instant now, core::effects& out);
+    claim_decision refusal(std::uint64_t id, key_time when) const;
+    void refuse_key(std::uint64_t id, key_time when);
+
     void call(std::uint64_t id, base::instant now, core::effects& out);
     void retry(open_claim& it, base::instant now);
     void enter(std::uint64_t id, claims::step step, base::instant now,
@@ -133,8 +156,8 @@
                   base::instant now, core::effects& out);
     void on_written(std::uint64_t id, const reply_result& reply,
                     base::instant now, core::effects& out);
-    void judge(std::uint64_t id, const stored_claim& stored, base::instant now,
-               core::effects& out);
+    void judge(std::uint64_t id, const stored_claim& stored, key_time when,
+               base::instant now, core::effects& out);
     void lose(std::uint64_t id, claim_verdict verdict, std::string why);
     void give_up(std::uint64_t id, base::instant now, core::effects& out);
     void close(std::uint64_t id);
--- a/lib/daemon/caller_api.cpp
+++ b/lib/daemon/caller_api.cpp
@@ -3,9 +3,9 @@
 
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
+#include "mimosacroft/daemon/wall_clock.hpp"
 #include "mimosacroft/model/object_reader.hpp"
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 
 namespace mimosacroft::daemon
@@ -54,12 +54,6 @@
     return out.is_discarded() ? nlohmann::json() : out;
 }
 
-std::int64_t seconds_since_1970()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<base::seconds>(now).count();
-}
-
 wire::http_reply refuse(runtime& rt, unsigned status, const std::string& why)
 {
     rt.metrics().add("mimosa_callers_refused_total");
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -3,6 +3,7 @@
 
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
+#include "mimosacroft/daemon/wall_clock.hpp"
 
 #include <optional>
 
@@ -91,6 +92,7 @@
 {
     core::effects out;
     // What was decided before an exception is still carried out.
+    node_.on_wall_clock(seconds_since_1970(), now());
     const auto failure = failure_of([&] { fn(now(), out); });
     for (auto& it : out)
         carry_out(it);
@@ -178,6 +180,8 @@
         metrics_.set("mimosa_config_version", static_cast<double>(version));
     }
     metrics_.set("mimosa_platform_ok", node_.fleet().platform_ok() ? 1 : 0);
+    metrics_.set("mimosa_claims_removed_total",
+                 static_cast<double>(node_.claim_sweeper().removed()));
     metrics_.set("mimosa_open_requests",
                  static_cast<double>(node_.root().open()));
 }
--- a/lib/fleet/platform_client.cpp
+++ b/lib/fleet/platform_client.cpp
@@ -19,12 +19,27 @@
 {
 }
 
-bool platform_client::take_token(base::instant now)
+void platform_client::refill(base::instant now)
 {
-    const double refill =
+    const double gained =
         base::to_seconds(now - refilled_) * options_.calls_per_second;
-    tokens_ = std::min(tokens_ + refill, options_.burst_calls);
+    tokens_ = std::min(tokens_ + gained, options_.burst_calls);
     refilled_ = now;
+}
+
+bool platform_client::take_spare_call(base::instant now)
+{
+    refill(now);
+    if (failures_ > 0 || tokens_ < options_.burst_calls / 2 + 1)
+        return false;
+    tokens_ -= 1;
+    ++calls_;
+    return true;
+}
+
+bool platform_client::take_token(base::instant now)
+{
+    refill(now);
     if (tokens_ < 1)
         return false;
     tokens_ -= 1;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -10,20 +10,35 @@
 namespace
 {
 
-query::claims_options claims_of(const fleet::agent_options& fleet)
+query::claims_options claims_of(const fleet::agent_options& fleet,
+                                const node_options& options)
 {
     query::claims_options out;
+    out.retention = options.claim_retention;
+    out.require_dated_keys = options.require_dated_keys;
     out.vm = fleet.vm;
     out.incarnation = fleet.incarnation;
     out.platform_address = fleet.platform_address;
     return out;
 }
 
+query::claim_sweeper_options sweeper_of(const fleet::agent_options& fleet,
+                                        const node_options& options)
+{
+    query::claim_sweeper_options out;
+    out.fleet_period = options.claim_sweep_period;
+    out.platform_address = fleet.platform_address;
+    return out;
+}
+
 } // namespace
 
 node::node(fleet::agent_options fleet, std::uint64_t seed, node_options options)
     : fleet_(std::move(fleet), seed), scatter_(fleet_, seed + 1),
-      claims_(claims_of(fleet_.options()), seed + 2),
+      claims_(claims_of(fleet_.options(), options), seed + 2),
+      sweeper_(sweeper_of(fleet_.options(), options), seed + 3,
+               [this](base::instant now)
+               { return fleet_.take_spare_call(now); }),
       root_(fleet_, scatter_, claims_, options.admission),
       leaf_(fleet_, options.leaf)
 {
@@ -165,15 +180,23 @@
         fleet_.on_http_reply(id, reply, now, out);
     else if (owner == core::call_owner::claims)
         claims_.on_http_reply(id, reply, now, out);
+    else if (owner == core::call_owner::sweeper)
+        sweeper_.on_http_reply(id, reply, now, out);
     settle(now, out);
 }
 
+void node::on_wall_clock(std::int64_t seconds, base::instant now)
+{
+    sweeper_.on_wall_clock(seconds, now);
+}
+
 void node::on_tick(base::instant now, core::effects& out)
 {
     fleet_.on_tick(now, out);
     leaf_.on_tick(now, out);
     scatter_.on_tick(now, out);
     claims_.on_tick(now, out);
+    sweeper_.on_tick(fleet_.view().entries().size(), now, out);
     root_.on_tick(now);
     settle(now, out);
 }
@@ -182,12 +205,13 @@
 {
     return std::min({fleet_.next_wakeup(), leaf_.next_wakeup(),
                      scatter_.next_wakeup(), claims_.next_wakeup(),
-                     root_.next_wakeup()});
+                     sweeper_.next_wakeup(), root_.next_wakeup()});
 }
 
 void node::begin_drain(base::instant, core::effects& out)
 {
     draining_ = true;
+    sweeper_.stop();
     for (const auto& it : fleet_.view().entries())
         if (it.vm != fleet_.options().vm)
             send(it.vm, wire::drain_notice{fleet_.options().incarnation}, out);
@@ -225,6 +249,8 @@
     bool moved = false;
     for (auto& decision : claims_.take_decisions())
     {
+        if (decision.verdict == query::claim_verdict::won)
+            sweeper_.on_claim_won(now);
         root_.on_claim(decision, now, out);
         moved = true;
     }
--- a/lib/query/claims.cpp
+++ b/lib/query/claims.cpp
@@ -2,10 +2,12 @@
 #include "mimosacroft/query/claims.hpp"
 
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/base/http_date.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cstdlib>
 #include <utility>
 
 namespace mimosacroft::query
@@ -51,8 +53,9 @@
 
 std::string claim_name(const search_request& request)
 {
-    return digest_of<3>(
-        {request.caller, request.search, request.idempotency_key});
+    const auto& key = request.idempotency_key;
+    const auto digest = digest_of<3>({request.caller, request.search, key});
+    return time_of_key(key) ? std::string(dated_prefix(key)) + digest : digest;
 }
 
 std::string claim_fingerprint(const search_request& request)
@@ -76,9 +79,12 @@
                         std::to_string(random_()) + "-" + std::to_string(id);
     made.record.fingerprint = request.fingerprint;
     made.record.created_s = request.created_s;
+    made.started = now;
     made.deadline = request.deadline;
     made.request = std::move(request);
-    enter(id, step::create, now, out);
+    // A request that will not run by this VM's clock creates nothing.
+    const bool outside = is_outside(made, made.request.created_s);
+    enter(id, outside ? step::confirm : step::create, now, out);
     return id;
 }
 
@@ -121,7 +127,9 @@
     made.id = ++last_call_;
     made.address = options_.platform_address;
     made.deadline = std::min(now + options_.call_timeout, it.deadline);
-    made.request.path = "/v1/objects/claim/" + it.request.name;
+    const auto kind = it.request.key_s ? dated_claim_kind : undated_claim_kind;
+    made.request.path =
+        "/v1/objects/" + std::string(kind) + "/" + it.request.name;
     if (it.step == step::create || it.step == step::record)
     {
         made.request.method = "PUT";
@@ -180,22 +188,19 @@
                         base::instant now, core::effects& out)
 {
     auto& it = open_.at(id);
+    const auto when = check_key(it, reply, now);
     if (has_status(reply, status_conflict))
     {
         const auto stored = decode_conflict(reply->body);
-        return stored ? judge(id, *stored, now, out)
+        return stored ? judge(id, *stored, when, now, out)
                       : enter(id, step::confirm, now, out);
     }
     if (has_status(reply, status_ok))
     {
         it.maybe_created = true;
         const auto version = decode_version(reply->body);
-        if (!version)
-            return enter(id, step::confirm, now, out);
-        it.version = *version;
-        it.step = step::held;
-        decisions_.push_back({id, claim_verdict::won, {}, {}});
-        return;
+        return version ? win(id, *version, when, now, out)
+                       : enter(id, step::confirm, now, out);
     }
     if (is_unclear(reply))
     {
@@ -209,32 +214,106 @@
                      base::instant now, core::effects& out)
 {
     auto& it = open_.at(id);
+    const auto when = check_key(it, reply, now);
     if (has_status(reply, status_ok))
         if (const auto stored = decode_claim(reply->body))
-            return judge(id, *stored, now, out);
+            return judge(id, *stored, when, now, out);
     if (has_status(reply, status_not_found))
+    {
+        if (when != key_time::valid)
+            return refuse_key(id, when);
         it.step = step::create;
+    }
     retry(it, now);
 }
 
-// Decides by the claim that the platform holds.
-void claims::judge(std::uint64_t id, const stored_claim& stored, base::instant,
-                   core::effects&)
+bool claims::is_outside(const open_claim& it, std::int64_t clock_s) const
+{
+    const auto& key_s = it.request.key_s;
+    return key_s && std::abs(clock_s - *key_s) > options_.retention.count();
+}
+
+std::int64_t claims::own_clock_s(const open_claim& it, base::instant now) const
+{
+    const auto since =
+        std::chrono::duration_cast<base::seconds>(now - it.started);
+    return it.request.created_s + since.count();
+}
+
+// A claim may have been removed already if its key is old by any clock, so
+// that a request runs only if neither this VM's clock nor the platform's, at
+// or after the create, says so.
+claims::key_time claims::check_key(const open_claim& it,
+                                   const reply_result& reply,
+                                   base::instant now) const
+{
+    const auto own_s = own_clock_s(it, now);
+    auto platform_s = own_s;
+    if (reply)
+        platform_s =
+            base::parse_http_date(wire::header_of(reply->headers, "date"))
+                .value_or(own_s);
+    const bool own = is_outside(it, own_s);
+    const bool other = is_outside(it, platform_s);
+    if (own != other)
+        return key_time::disputed;
+    return own ? key_time::outside : key_time::valid;
+}
+
+void claims::win(std::uint64_t id, std::uint64_t version, key_time when,
+                 base::instant now, core::effects& out)
 {
     auto& it = open_.at(id);
-    const auto& held = stored.record;
-    if (held.nonce == it.record.nonce)
+    it.version = version;
+    it.step = step::held;
+    if (when == key_time::valid)
     {
-        it.version = stored.version;
-        it.step = step::held;
         decisions_.push_back({id, claim_verdict::won, {}, {}});
         return;
     }
+    decisions_.push_back(refusal(id, when));
+    release(id, now, out);
+}
+
+claim_decision claims::refusal(std::uint64_t id, key_time when) const
+{
+    if (when == key_time::outside)
+        return {id,
+                claim_verdict::expired,
+                {},
+                "idempotency_key: found a time that is more than " +
+                    std::to_string(options_.retention.count()) +
+                    " s from now, allowed is a newer key"};
+    return {id,
+            claim_verdict::not_run,
+            {},
+            "the clocks of this VM and of the platform differ on whether the "
+            "idempotency key is too old"};
+}
+
+void claims::refuse_key(std::uint64_t id, key_time when)
+{
+    decisions_.push_back(refusal(id, when));
+    close(id);
+}
+
+// Decides by the claim that the platform holds.
+void claims::judge(std::uint64_t id, const stored_claim& stored, key_time when,
+                   base::instant now, core::effects& out)
+{
+    const auto& it = open_.at(id);
+    const auto& held = stored.record;
+    if (held.nonce == it.record.nonce)
+        return win(id, stored.version, when, now, out);
+    if (when == key_time::outside)
+        return refuse_key(id, when);
     if (held.fingerprint != it.record.fingerprint)
         return lose(id, claim_verdict::mismatch,
                     "idempotency_key: found a key that was used with another "
                     "request, allowed is a new key for each request");
-    if (it.record.created_s - held.created_s > options_.retention.count())
+    // A key without a time is as old as its claim.
+    const auto age_s = it.record.created_s - held.created_s;
+    if (!it.request.key_s && age_s > options_.retention.count())
         return lose(id, claim_verdict::expired,
                     "idempotency_key: found a key older than " +
                         std::to_string(options_.retention.count()) +
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -106,6 +106,11 @@
     if (deadline <= base::milliseconds(0) || deadline > most)
         return "deadline_ms: found " + std::to_string(deadline.count()) +
                ", allowed is 1 to " + std::to_string(most.count());
+    const auto& key = request.idempotency_key;
+    if (claims_.options().require_dated_keys && !key.empty() &&
+        !time_of_key(key))
+        return "idempotency_key: found a key without its time, allowed is t, "
+               "the seconds since 1970 in 10 digits, - and a text";
     if (search->scope == model::scope::one && request.routing_key.empty())
         return "routing_key is missing; the search " + search->name +
                " goes to one shard";
@@ -137,6 +142,7 @@
     wanted.name = claim_name(query.request);
     wanted.fingerprint = claim_fingerprint(query.request);
     wanted.created_s = query.request.received_s;
+    wanted.key_s = time_of_key(query.request.idempotency_key);
     wanted.deadline = query.deadline;
     query.claim = claims_.acquire(std::move(wanted), now, out);
     claiming_.emplace(query.claim, std::move(query));
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -1,9 +1,11 @@
 // A small stand-in of the platform's object API: versions, conditional updates,
 // waiting reads of changes, and a list of entry VMs that lags. Its faults are
 // switched on by POST /standin/faults. Keeps everything in memory.
+#include "mimosacroft/base/http_date.hpp"
 #include "mimosacroft/base/text.hpp"
 #include "mimosacroft/daemon/serve.hpp"
 #include "mimosacroft/daemon/settings.hpp"
+#include "mimosacroft/daemon/wall_clock.hpp"
 #include "mimosacroft/net/blocking_http.hpp"
 #include "mimosacroft/net/http_server.hpp"
 
@@ -70,6 +72,7 @@
     std::uint64_t delay_ms = 0; ///< answers late
     std::uint64_t lose = 0;  ///< answers to lose, after the write took effect
     bool frozen_vms = false; ///< the list of VMs does not change
+    std::int64_t clock_ahead_s = 0; ///< of the dates of its answers
 };
 
 wire::http_reply reply(unsigned status, const json& body)
@@ -115,6 +118,7 @@
                           {"object", exists ? to_json(it->second) : json()}});
         auto& made = objects_[{kind, name}];
         made = {kind, name, ++version_, request.method == "DELETE", {}};
+        newest_[kind] = version_;
         if (request.method == "PUT")
         {
             made.value = json::parse(request.body, nullptr, false);
@@ -133,7 +137,7 @@
         const auto due = std::chrono::steady_clock::now() +
                          base::milliseconds(std::min(wait_ms, max_wait_ms));
         changed_.wait_until(lock, due,
-                            [&] { return version_ > after || closing_; });
+                            [&] { return newest(kinds) > after || closing_; });
         auto list = json::array();
         for (const auto& [key, it] : objects_)
             if (it.version > after && wanted(kinds, it.kind))
@@ -141,10 +145,31 @@
         return reply(200, {{"version", version_}, {"objects", list}});
     }
 
-    std::uint64_t calls()
+    /// Names and versions of a kind's objects, in the order of the names.
+    wire::http_reply list(const std::string& kind, std::uint64_t limit)
     {
         const std::lock_guard lock(mutex_);
-        return calls_;
+        ++calls_;
+        auto list = json::array();
+        for (auto it = objects_.lower_bound({kind, ""});
+             it != objects_.end() && it->first.first == kind &&
+             list.size() < limit;
+             ++it)
+            if (!it->second.deleted)
+                list.push_back({{"name", it->second.name},
+                                {"version", it->second.version}});
+        return reply(200, {{"objects", list}});
+    }
+
+    /// Calls so far, and the objects that there are, by kind.
+    json stats()
+    {
+        const std::lock_guard lock(mutex_);
+        json objects = json::object();
+        for (const auto& [key, it] : objects_)
+            if (!it.deleted)
+                objects[it.kind] = objects.value(it.kind, 0) + 1;
+        return {{"calls", calls_}, {"objects", objects}};
     }
 
     void close()
@@ -161,9 +186,20 @@
                ("," + kinds + ",").find("," + kind + ",") != std::string::npos;
     }
 
+    /// The version of the latest change of any of the wanted kinds.
+    std::uint64_t newest(const std::string& kinds) const
+    {
+        std::uint64_t out = 0;
+        for (const auto& [kind, version] : newest_)
+            if (wanted(kinds, kind))
+                out = std::max(out, version);
+        return out;
+    }
+
     std::mutex mutex_; // guards all below
     std::condition_variable changed_;
     std::map<std::pair<std::string, std::string>, object> objects_;
+    std::map<std::string, std::uint64_t> newest_; ///< version, by kind
     std::uint64_t version_ = 0;
     std::uint64_t calls_ = 0;
     bool closing_ = false;
@@ -252,13 +288,15 @@
         if (request.path == "/standin/leaving")
             return set_leaving(request);
         if (request.path == "/standin/stats")
-            return reply(200, {{"calls", store_.calls()}});
+            return reply(200, store_.stats());
         const auto now = current_faults();
         if (now.delay_ms > 0)
             std::this_thread::sleep_for(base::milliseconds(now.delay_ms));
         if (now.down)
             return reply(503, {{"error", "down"}});
         auto out = serve(request);
+        out.headers["date"] = base::format_http_date(
+            daemon::seconds_since_1970() + now.clock_ahead_s);
         if (request.method != "GET" && lose_one())
             return reply(500, {{"error", "answer lost"}});
         return out;
@@ -277,6 +315,8 @@
                                   net::query_parameter(request.query, "kinds"));
         if (request.path == "/v1/vms")
             return reply(200, vms_.to_json(number(request, "after")));
+        if (parts.size() == 3 && parts[1] == "objects")
+            return store_.list(parts[2], number(request, "limit"));
         if (parts.size() == 4 && parts[1] == "objects")
             return store_.object_request(request, parts[2], parts[3]);
         return reply(404, {{"error", "no such path"}});
@@ -299,6 +339,8 @@
         faults_.delay_ms = in.value("delay_ms", faults_.delay_ms);
         faults_.lose = in.value("lose", faults_.lose);
         faults_.frozen_vms = in.value("frozen_vms", faults_.frozen_vms);
+        faults_.clock_ahead_s =
+            in.value("clock_ahead_s", faults_.clock_ahead_s);
         return reply(200, {{"ok", true}});
     }
 
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -86,6 +86,25 @@
          .help = "from gaining an upstream to using it",
          .least = 0,
          .most = 120'000},
+        {.name = "claim-retention-s",
+         .kind = setting_kind::number,
+         .fallback = "86400",
+         .help = "a key may be sent again for this time after the one that it "
+                 "states; the same on all VMs",
+         .least = static_cast<std::uint64_t>(query::least_retention.count()),
+         .most = static_cast<std::uint64_t>(query::longest_retention.count())},
+        {.name = "claim-sweep-period-s",
+         .kind = setting_kind::number,
+         .fallback = "60",
+         .help = "about once in this time one VM of the fleet removes old "
+                 "claims; more often while claims are made",
+         .least = 1,
+         .most = 3600},
+        {.name = "require-dated-keys",
+         .kind = setting_kind::flag,
+         .fallback = "false",
+         .help = "refuses idempotency keys that do not state their time; "
+                 "claims of such keys are never removed"},
         {.name = "hedging",
          .kind = setting_kind::flag,
          .fallback = "true",
@@ -255,6 +274,9 @@
     out.leaf.replica_choice = s.flag("replica-choice");
     out.leaf.ejection = s.flag("ejection");
     out.leaf.priorities = s.flag("priorities");
+    out.claim_retention = base::seconds(s.number("claim-retention-s"));
+    out.require_dated_keys = s.flag("require-dated-keys");
+    out.claim_sweep_period = base::seconds(s.number("claim-sweep-period-s"));
     return out;
 }
 
--- a/unittests/daemon/at_most_once_test.cpp
+++ b/unittests/daemon/at_most_once_test.cpp
@@ -1,5 +1,7 @@
 // Tests on real processes that a request with an idempotency key runs at most
 // once, whatever befalls the entry VM that took it and the platform.
+#include "mimosacroft/daemon/wall_clock.hpp"
+#include "mimosacroft/query/claim_key.hpp"
 #include "process_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -88,6 +90,28 @@
     return sum;
 }
 
+std::string key_of_age(base::seconds age, const std::string& rest)
+{
+    const auto made_s = daemon::seconds_since_1970() - age.count();
+    return "t" + std::to_string(made_s) + "-" + rest;
+}
+
+/// Claims of dated keys that the platform holds.
+int dated_claims(const process_fleet& fleet)
+{
+    return json::parse(
+               process_fleet::call(fleet.platform(), "GET", "/standin/stats")
+                   .body)
+        .at("objects")
+        .value(query::dated_claim_kind, 0);
+}
+
+bool has_event(const process_fleet& fleet, int vm, const std::string& event)
+{
+    return process_fleet::call(fleet.vm_http(vm), "GET", "/metrics")
+               .body.find("{event=\"" + event + "\"}") != std::string::npos;
+}
+
 } // namespace
 
 TEST_GROUP(at_most_once){};
@@ -180,3 +204,40 @@
     STRCMP_EQUAL("answered", outcome(it).c_str());
     LONGS_EQUAL(1, most_runs(fleet));
 }
+
+TEST(at_most_once, old_claims_are_removed_and_their_keys_stay_used_up)
+{
+    auto plan = plan_at(604);
+    plan.vm_flags.insert(plan.vm_flags.end(), {"--claim-sweep-period-s", "1"});
+    const process_fleet fleet(plan);
+    await_serving(fleet);
+    const auto young = booking(key_of_age(base::seconds(60), "young"), 1);
+    STRCMP_EQUAL("answered",
+                 outcome(fleet.search(0, "booking", young)).c_str());
+    // With the platform's clock an hour off, each VM sees it and none removes.
+    fleet.faults(fleet.platform(), {{"clock_ahead_s", 3600}});
+    const auto old = query::claim_lifetime + base::seconds(60);
+    constexpr int old_claims = 20;
+    for (int n = 0; n < old_claims; ++n)
+        process_fleet::call(fleet.platform(), "PUT",
+                            "/v1/objects/dated-claim/" +
+                                key_of_age(old, std::to_string(n)),
+                            "{}", {{"if-match", "0"}});
+    for (int vm = 0; vm < fleet.vm_count(); ++vm)
+        CHECK(
+            eventually([&] { return has_event(fleet, vm, "clock_differs"); }));
+    LONGS_EQUAL(old_claims + 1, dated_claims(fleet));
+
+    fleet.faults(fleet.platform(), {{"clock_ahead_s", 0}, {"lose", 3}});
+    CHECK(eventually([&] { return dated_claims(fleet) == 1; }));
+    const auto again = fleet.search(1, "booking", young);
+    STRCMP_EQUAL("answered", outcome(again).c_str());
+    CHECK(again["replayed"].get<bool>());
+    const auto before = runs(fleet);
+    const auto late =
+        fleet.search(2, "booking", booking(key_of_age(old, "0"), 2));
+    STRCMP_EQUAL("rejected", outcome(late).c_str());
+    LONGS_EQUAL(before, runs(fleet));
+    LONGS_EQUAL(1, dated_claims(fleet));
+    LONGS_EQUAL(1, most_runs(fleet));
+}
--- a/unittests/query/claims_test.cpp
+++ b/unittests/query/claims_test.cpp
@@ -1,6 +1,7 @@
 // Tests of claims, against a platform that is played by hand.
 #include "mimosacroft/query/claims.hpp"
 
+#include "mimosacroft/base/http_date.hpp"
 #include "query_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -11,6 +12,11 @@
 using base::milliseconds;
 using query::claim_verdict;
 
+namespace
+{
+constexpr std::int64_t day_s = 86'400;
+} // namespace
+
 TEST_GROUP(claims)
 {
     query::claims claims{{.vm = "vm-0", .platform_address = "127.0.0.1:1"}, 7};
@@ -25,6 +31,26 @@
             now, out);
     }
 
+    /// Claims a key that was made at second 1000, with this VM's clock as
+    /// given.
+    std::uint64_t acquire_dated(std::int64_t clock_s)
+    {
+        return claims.acquire({"t0000001000-name", "f", clock_s,
+                               test_start + milliseconds(1000), 1000},
+                              now, out);
+    }
+
+    void reply_at(const core::http_call& call, unsigned status,
+                  const nlohmann::json& body, std::int64_t platform_s)
+    {
+        claims.on_http_reply(
+            call.id,
+            wire::http_reply{status,
+                             {{"date", base::format_http_date(platform_s)}},
+                             body.dump()},
+            now, out);
+    }
+
     /// The newest call, and its effects so far are dropped.
     core::http_call take_call()
     {
@@ -218,6 +244,79 @@
     CHECK(verdict() == claim_verdict::unknown);
 }
 
+TEST(claims, a_dated_key_is_claimed_in_the_order_of_time)
+{
+    query::search_request request;
+    request.caller = "a";
+    request.idempotency_key = "t1796400000-7";
+    const auto name = query::claim_name(request);
+    STRCMP_EQUAL("t1796400000-", name.substr(0, 12).c_str());
+    CHECK(query::time_of_key(name) == 1796400000);
+    for (const auto* key : {"", "t179640000-7", "t1796400000", "T1796400000-7",
+                            "1796400000-7", "t17964o0000-7", "k1"})
+        CHECK_FALSE(query::time_of_key(key).has_value());
+    acquire_dated(1000);
+    STRCMP_EQUAL("/v1/objects/dated-claim/t0000001000-name",
+                 take_call().request.path.c_str());
+}
+
+TEST(claims, a_dated_key_wins_up_to_the_retention_by_both_clocks)
+{
+    acquire_dated(1000 + day_s);
+    reply_at(take_call(), 200, {{"version", 5}}, 1000 + day_s);
+    CHECK(verdict() == claim_verdict::won);
+}
+
+TEST(claims, a_dated_key_that_is_too_old_creates_nothing)
+{
+    acquire_dated(1000 + day_s + 1);
+    const auto read = take_call();
+    STRCMP_EQUAL("GET", read.request.method.c_str());
+    reply_at(read, 404, nlohmann::json::object(), 1000 + day_s + 1);
+    CHECK(verdict() == claim_verdict::expired);
+    LONGS_EQUAL(0, claims.open());
+}
+
+TEST(claims, a_dated_key_that_is_too_old_by_one_clock_does_not_run)
+{
+    // By this VM's clock.
+    acquire_dated(1000 + day_s + 3600);
+    reply_at(take_call(), 404, nlohmann::json::object(), 1000);
+    CHECK(verdict() == claim_verdict::not_run);
+    LONGS_EQUAL(0, claims.open());
+    // By the platform's: the claim was made and is given back.
+    acquire_dated(1000);
+    reply_at(take_call(), 200, {{"version", 5}}, 1000 + day_s + 3600);
+    CHECK(verdict() == claim_verdict::not_run);
+    const auto removal = take_call();
+    STRCMP_EQUAL("DELETE", removal.request.method.c_str());
+    STRCMP_EQUAL("5", removal.request.headers.at("if-match").c_str());
+    reply(removal, 200, {{"version", 6}});
+    LONGS_EQUAL(0, claims.open());
+}
+
+TEST(claims, a_key_whose_create_is_read_back_too_late_does_not_run)
+{
+    acquire_dated(1000);
+    const auto create = take_call();
+    fail(create, base::error_code::broken);
+    reply_at(next_call(), 200, object_of(create), 1000 + 2 * day_s);
+    CHECK(verdict() == claim_verdict::not_run);
+}
+
+TEST(claims, a_recorded_answer_is_given_whatever_one_clock_says)
+{
+    const auto id = acquire_dated(1000);
+    reply_at(take_call(), 200, {{"version", 5}}, 1000);
+    claims.record(id, {}, now, out);
+    const auto write = take_call();
+    (void)claims.take_decisions();
+    acquire_dated(1000);
+    reply_at(take_call(), 409, {{"object", object_of(write, 6)}},
+             1000 + 2 * day_s);
+    CHECK(verdict() == claim_verdict::replay);
+}
+
 TEST(claims, names_tell_callers_and_searches_apart)
 {
     query::search_request one;
