--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -4,6 +4,7 @@
 #define MIMOSACROFT_NODE_NODE_HPP
 
 #include "mimosacroft/fleet/agent.hpp"
+#include "mimosacroft/query/claim_sweeper.hpp"
 #include "mimosacroft/query/leaf.hpp"
 #include "mimosacroft/query/root.hpp"
 #include "mimosacroft/query/scatter.hpp"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace mimosacroft::node
@@ -21,6 +23,9 @@
 {
     query::leaf_options leaf;
     query::admission_options admission;
+    base::seconds claim_retention{24 * 3600};
+    bool require_dated_keys = false;
+    base::seconds claim_sweep_period{60};
 };
 
 class node
@@ -38,6 +43,8 @@
     void on_http_reply(core::call_owner owner, std::uint64_t id,
                        const base::result<wire::http_reply>& reply,
                        base::instant now, core::effects& out);
+    /// The wall clock, in seconds since 1970.
+    void on_wall_clock(std::int64_t seconds, base::instant now);
     void on_tick(base::instant now, core::effects& out);
     base::instant next_wakeup() const;
 
@@ -62,6 +69,7 @@
     const fleet::agent& fleet() const { return fleet_; }
     const query::root& root() const { return root_; }
     const query::leaf& leaf() const { return leaf_; }
+    const query::claim_sweeper& claim_sweeper() const { return sweeper_; }
 
 private:
     /// A forward of another VM that this one passes on and merges.
@@ -73,6 +81,9 @@
         std::uint64_t epoch = 0;
     };
 
+    /// What a cancel names: sender, query and attempt.
+    using relay_key = std::tuple<std::string, wire::query_ref, std::uint32_t>;
+
     void on_forward(const std::string& from, const wire::forward& msg,
                     base::instant now, core::effects& out);
     void on_cancel(const std::string& from, const wire::cancel& msg,
@@ -81,6 +92,7 @@
                          core::effects& out);
     void refuse_forward(const std::string& from, const wire::forward& msg,
                         core::effects& out);
+    relayed end_relay(std::uint64_t job);
     void relay(const std::string& from, const wire::forward& msg,
                std::vector<wire::shard_task> tasks, base::instant now,
                core::effects& out);
@@ -92,9 +104,11 @@
     fleet::agent fleet_;
     query::scatter scatter_;
     query::claims claims_;
+    query::claim_sweeper sweeper_;
     query::root root_;
     query::leaf leaf_;
-    std::map<std::uint64_t, relayed> relayed_; ///< by scatter job
+    std::map<std::uint64_t, relayed> relayed_;      ///< by scatter job
+    std::map<relay_key, std::uint64_t> relay_jobs_; ///< of relayed_
     std::vector<query::search_answer> answers_;
     bool draining_ = false;
     bool refuses_searches_ = false; ///< implies draining_
