Work owners out again only where they may have changed

Cause: fleet_bench did not end for 580 members. perf on 100 members: 33% of the time is weight_of and most of the rest sorting, under ownership::update. Every push, also a duplicate, weighed all VMs of a data centre anew for each of 500 upstreams, and the sort worked weights out at each comparison.

Change: ownership keeps the owners with what they follow from (data centre, slots, VMs of the data centre) and weighs again only where that changed; view::owners_of works each weight out once.

Ruled out: comparing versions of views. The VMs themselves are compared, so that nothing rests on what a version means.

Test: owners_follow_every_change_of_vms_and_upstreams compares kept owners with fresh ones after random changes. It passes before the change too: it guards the cache.

--- a/include/mimosacroft/fleet/ownership.hpp
+++ b/include/mimosacroft/fleet/ownership.hpp
@@ -74,13 +74,25 @@
         base::instant since; ///< when the handover to `part` started
     };
 
+    /// Owners of one upstream, and what they follow from besides its name and
+    /// the VMs of its data centre.
+    struct owner_list
+    {
+        std::string data_centre;
+        std::uint32_t slots = 0;
+        std::vector<std::string> vms;
+    };
+
     std::string self_;
     ownership_options options_;
+    void update_owners(const view& current, const model::catalog& catalog);
     owned changed(const owned& before, const share& part,
                   base::instant now) const;
     share at(const owned& it, base::instant now) const;
 
-    std::map<std::string, std::vector<std::string>> owners_; ///< by upstream
+    std::map<std::string, owner_list> owners_; ///< by upstream
+    /// By data centre, those that owners_ were chosen from.
+    std::map<std::string, std::vector<std::string>> members_;
     std::map<std::string, owned> owned_;
     bool settled_ = true;
     base::instant confirmed_;
--- a/lib/fleet/ownership.cpp
+++ b/lib/fleet/ownership.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/fleet/ownership.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosacroft::fleet
 {
@@ -14,11 +15,11 @@
 void ownership::update(const view& current, const model::catalog& catalog,
                        base::instant now)
 {
+    update_owners(current, catalog);
     std::map<std::string, owned> next;
-    owners_.clear();
     for (const auto& [name, upstream] : catalog.upstreams())
     {
-        const auto& owners = owners_[name] = current.owners_of(upstream);
+        const auto& owners = owners_.at(name).vms;
         if (std::ranges::find(owners, self_) == owners.end())
             continue;
         const share part = share_of(upstream, owners.size());
@@ -31,6 +32,39 @@
     owned_ = std::move(next);
 }
 
+// Owners are worked out again only where they may have changed: weighing every
+// VM for every upstream costs far more than the change of one of them.
+void ownership::update_owners(const view& current,
+                              const model::catalog& catalog)
+{
+    std::map<std::string, std::vector<std::string>> members;
+    std::set<std::string> changed;
+    for (const auto& it : current.data_centres())
+    {
+        members[it] = current.members_of(it);
+        if (members[it] != members_[it])
+            changed.insert(it);
+    }
+    for (const auto& [it, vms] : members_)
+        if (!vms.empty() && !members.contains(it))
+            changed.insert(it);
+    std::map<std::string, owner_list> next;
+    for (const auto& [name, upstream] : catalog.upstreams())
+    {
+        const auto& at = upstream.data_centre;
+        const auto before = owners_.find(name);
+        const bool same =
+            before != owners_.end() && before->second.data_centre == at &&
+            before->second.slots == upstream.slots && !changed.contains(at);
+        if (same)
+            next[name] = std::move(before->second);
+        else
+            next[name] = {at, upstream.slots, current.owners_of(upstream)};
+    }
+    owners_ = std::move(next);
+    members_ = std::move(members);
+}
+
 // A share that shrinks in one limit holds the smaller one at once.
 ownership::owned ownership::changed(const owned& before, const share& part,
                                     base::instant now) const
@@ -72,7 +106,7 @@
 {
     static const std::vector<std::string> nobody;
     const auto it = owners_.find(upstream);
-    return it == owners_.end() ? nobody : it->second;
+    return it == owners_.end() ? nobody : it->second.vms;
 }
 
 share ownership::at(const owned& it, base::instant now) const
--- a/lib/fleet/view.cpp
+++ b/lib/fleet/view.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <ranges>
 #include <set>
 
 namespace mimosacroft::fleet
@@ -103,12 +104,18 @@
 
 std::vector<std::string> view::owners_of(const model::upstream& it) const
 {
-    auto out = members_of(it.data_centre);
-    std::ranges::sort(out, std::greater<>{}, [&it](const std::string& vm)
-                      { return std::pair(weight_of(it.name, vm), vm); });
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (auto& vm : members_of(it.data_centre))
+    {
+        const auto weight = weight_of(it.name, vm);
+        order.emplace_back(weight, std::move(vm));
+    }
     const std::size_t most = std::min<std::size_t>(max_owners, it.slots);
-    if (out.size() > most)
-        out.resize(most);
+    const auto n = static_cast<std::ptrdiff_t>(std::min(most, order.size()));
+    std::ranges::partial_sort(order, order.begin() + n, std::greater<>{});
+    std::vector<std::string> out;
+    for (auto& [weight, vm] : order | std::views::take(n))
+        out.push_back(std::move(vm));
     return out;
 }
 
--- a/unittests/fleet/ownership_test.cpp
+++ b/unittests/fleet/ownership_test.cpp
@@ -1,6 +1,8 @@
 // Tests of owners and shares.
 #include "mimosacroft/fleet/ownership.hpp"
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace mimosacroft;
@@ -72,3 +74,40 @@
     LONGS_EQUAL(2, it.usable("u", test_start + milliseconds(100)).slots);
     LONGS_EQUAL(0, it.usable("u", test_start + milliseconds(101)).slots);
 }
+
+TEST(ownership, owners_follow_every_change_of_vms_and_upstreams)
+{
+    CHECK(rc::check(
+        "owners are those of the latest view and configuration",
+        [](const std::vector<std::uint8_t>& changes)
+        {
+            fleet::ownership it("vm-0", {});
+            std::vector<wire::view_entry> vms;
+            model::catalog catalog;
+            for (const auto change : changes)
+            {
+                const auto name = std::to_string(change / 8 % 4);
+                const std::string at = change / 32 % 2 == 0 ? "near" : "far";
+                const bool leaving = change / 64 % 2 == 0;
+                model::upstream upstream;
+                upstream.name = name;
+                upstream.data_centre = at;
+                upstream.slots = change / 64 + 1U;
+                if (change % 4 == 0)
+                    catalog.put(upstream);
+                else if (change % 4 == 1)
+                    catalog.remove(model::resource_kind::upstream, name);
+                else if (change % 4 == 2)
+                    vms.push_back({"vm-" + name, at, {}, leaving});
+                else
+                    std::erase_if(vms, [&](const auto& vm)
+                                  { return vm.vm == "vm-" + name; });
+                // The version stays: owners follow from the VMs alone.
+                const fleet::view current(1, vms);
+                it.update(current, catalog, test_start);
+                for (const auto& [key, value] : catalog.upstreams())
+                    RC_ASSERT(it.owners_of(key) == current.owners_of(value));
+                RC_ASSERT(it.owners_of("none").empty());
+            }
+        }));
+}
