--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,8 +1,10 @@
 // Measures what control costs a node as the fleet grows: agents in one process
 // with virtual time, messages packed as on the wire. Usage: fleet_bench
-// [--json] [MEMBERS...]
+// [--json] [--kinds] [MEMBERS...]. With --kinds the busiest node's bytes are
+// shown by kind of message.
 #include "../unittests/fleet/virtual_fleet.hpp"
 
+#include <array>
 #include <cstdio>
 #include <ctime>
 #include <malloc.h>
@@ -21,6 +23,13 @@
 constexpr base::milliseconds poll{10};
 constexpr int burst_changes = 50;
 
+/// In the order of virtual_fleet's kinds.
+constexpr std::array<const char*, virtual_fleet::kinds> kind_names{
+    "hello",         "proof",           "forward",     "forward_answer",
+    "cancel",        "config_push",     "digest",      "view_push",
+    "leaving_push",  "view_ask",        "view_answer", "drain_notice",
+    "platform list", "platform changes"};
+
 struct row
 {
     std::size_t members = 0;
@@ -31,8 +40,19 @@
     double platform_calls = 0; ///< a second, whole fleet
     double spread_ms = 0;      ///< longest time until in force everywhere
     double burst_ms = 0;
+    double seconds = 0; ///< measured
+    std::string busiest;
+    decltype(virtual_fleet::member::traffic_of) busiest_traffic{};
 };
 
+std::uint64_t bytes_of(const virtual_fleet::member& it)
+{
+    std::uint64_t out = 0;
+    for (const auto& kind : it.traffic_of)
+        out += kind.bytes();
+    return out;
+}
+
 double cpu_seconds()
 {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -99,7 +119,10 @@
         all.start(n);
     all.run(base::seconds(30));
     for (auto& it : all.members)
-        it.bytes_sent = it.bytes_received = it.platform_calls = 0;
+    {
+        it.traffic_of = {};
+        it.platform_calls = 0;
+    }
 
     const auto start = all.now;
     const double cpu = cpu_seconds();
@@ -110,17 +133,19 @@
         out.spread_ms = std::max(out.spread_ms, change(all, 1, data_centres));
         all.run(gap / 2);
     }
-    const double seconds = base::to_seconds(all.now - start);
+    const double seconds = out.seconds = base::to_seconds(all.now - start);
     const double n = static_cast<double>(members);
     out.cpu_percent = (cpu_seconds() - cpu) / seconds / n * 100;
     for (const auto& it : all.members)
     {
-        const double bytes =
-            static_cast<double>(it.bytes_sent + it.bytes_received) / seconds;
+        const double bytes = static_cast<double>(bytes_of(it)) / seconds;
         out.mean_bytes += bytes / n;
-        out.most_bytes = std::max(out.most_bytes, bytes);
         out.platform_calls += static_cast<double>(it.platform_calls) / seconds;
     }
+    const auto& most = *std::ranges::max_element(all.members, {}, bytes_of);
+    out.most_bytes = static_cast<double>(bytes_of(most)) / seconds;
+    out.busiest = most.options.vm;
+    out.busiest_traffic = most.traffic_of;
     out.memory_mb = (heap_mb() - heap) / n;
     out.burst_ms = change(all, burst_changes, data_centres);
     return out;
@@ -139,16 +164,35 @@
     std::fflush(stdout);
 }
 
+void print_kinds(const row& it)
+{
+    std::printf("  busiest: %s\n  %-16s %12s %12s %12s\n", it.busiest.c_str(),
+                "kind", "messages/s", "sent B/s", "received B/s");
+    for (std::size_t n = 0; n < kind_names.size(); ++n)
+    {
+        const auto& kind = it.busiest_traffic[n];
+        const auto rate = [&it](std::uint64_t count)
+        { return static_cast<double>(count) / it.seconds; };
+        if (kind.bytes() > 0)
+            std::printf("  %-16s %12.2f %12.0f %12.0f\n", kind_names[n],
+                        rate(kind.messages_sent), rate(kind.bytes_sent),
+                        rate(kind.bytes_received));
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     std::vector<std::size_t> sizes;
     bool json = false;
+    bool kinds = false;
     for (int n = 1; n < argc; ++n)
     {
         if (std::string(argv[n]) == "--json")
             json = true;
+        else if (std::string(argv[n]) == "--kinds")
+            kinds = true;
         else
             sizes.push_back(std::strtoul(argv[n], nullptr, 10));
     }
@@ -159,5 +203,10 @@
                     "mean B/s", "most B/s", "cpu %", "MB a node",
                     "platform c/s", "spread ms", "burst ms");
     for (const auto members : sizes)
-        print(measure(members), json);
+    {
+        const auto it = measure(members);
+        print(it, json);
+        if (kinds)
+            print_kinds(it);
+    }
 }
--- a/unittests/fleet/virtual_fleet.hpp
+++ b/unittests/fleet/virtual_fleet.hpp
@@ -7,6 +7,7 @@
 #include "mimosacroft/fleet/agent.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -89,6 +90,21 @@
 class virtual_fleet
 {
 public:
+    /// Kinds of traffic: the messages between VMs in the order of
+    /// wire::message, then the two calls to the platform.
+    static constexpr auto list_kind = std::variant_size_v<wire::message>;
+    static constexpr auto changes_kind = list_kind + 1;
+    static constexpr auto kinds = list_kind + 2;
+
+    struct traffic
+    {
+        std::uint64_t messages_sent = 0;
+        std::uint64_t bytes_sent = 0;
+        std::uint64_t bytes_received = 0;
+
+        std::uint64_t bytes() const { return bytes_sent + bytes_received; }
+    };
+
     struct member
     {
         fleet::agent_options options;
@@ -96,8 +112,7 @@
         bool paused = false;
         std::uint64_t life = 0; ///< grows with each start
         base::instant wake = base::never;
-        std::uint64_t bytes_sent = 0;
-        std::uint64_t bytes_received = 0;
+        std::array<traffic, kinds> traffic_of{}; ///< by kind
         std::uint64_t platform_calls = 0;
         /// Inputs that came while it was paused.
         std::vector<std::function<void()>> waiting;
@@ -279,15 +294,23 @@
     {
         const auto found = index_.find(it.vm);
         const auto bytes = wire::pack(it.msg);
-        members[n].bytes_sent += bytes.size() + 4;
+        note_sent(n, it.msg.index(), bytes.size() + frame_header);
         if (found == index_.end() || happens(loss))
             return;
         const int copies = happens(duplicate) ? 2 : 1;
         for (int k = 0; k < copies; ++k)
-            deliver(n, found->second, bytes);
+            deliver(n, found->second, it.msg.index(), bytes);
+    }
+
+    void note_sent(std::size_t n, std::size_t kind, std::uint64_t bytes)
+    {
+        auto& it = members[n].traffic_of[kind];
+        ++it.messages_sent;
+        it.bytes_sent += bytes;
     }
 
-    void deliver(std::size_t n, std::size_t to, const std::string& bytes)
+    void deliver(std::size_t n, std::size_t to, std::size_t kind,
+                 const std::string& bytes)
     {
         const auto incarnation = members[n].options.incarnation;
         at(now + delay(),
@@ -295,7 +318,8 @@
            {
                if (!passes(n, to) || !members[to].agent)
                    return;
-               members[to].bytes_received += bytes.size() + 4;
+               members[to].traffic_of[kind].bytes_received +=
+                   bytes.size() + frame_header;
                input(to, members[to].life,
                      [=, this]
                      {
@@ -315,20 +339,21 @@
         const auto life = members[n].life;
         const auto id = call.id;
         ++members[n].platform_calls;
-        members[n].bytes_sent += http_overhead;
+        const bool watch = call.request.path == "/v1/changes";
+        const auto kind = watch ? changes_kind : list_kind;
+        note_sent(n, kind, http_overhead);
         at(now + delay(),
-           [=, this, watch = call.request.path == "/v1/changes",
-            query = call.request.query]
+           [=, this, query = call.request.query]
            {
                if (!reachable(n))
-                   return reply(n, life, id, {});
+                   return reply(n, life, id, kind, {});
                if (!watch)
-                   return reply(n, life, id,
+                   return reply(n, life, id, kind,
                                 platform.list(number_of(query, "after=")));
                const auto after = number_of(query, "after=");
                if (platform.version > after ||
                    number_of(query, "wait_ms=") == 0)
-                   return reply(n, life, id, platform.changes(after));
+                   return reply(n, life, id, kind, platform.changes(after));
                wait(n, life, id, after, number_of(query, "wait_ms="));
            });
     }
@@ -341,7 +366,7 @@
         {
             if (std::exchange(*done, true))
                 return;
-            reply(n, life, id,
+            reply(n, life, id, changes_kind,
                   reachable(n) ? platform.changes(after) : std::string());
         };
         watches_.push_back(finish);
@@ -356,13 +381,14 @@
 
     // An empty body stands for a lost reply.
     void reply(std::size_t n, std::uint64_t life, std::uint64_t id,
-               const std::string& body)
+               std::size_t kind, const std::string& body)
     {
         at(now + delay(),
            [=, this]
            {
                if (members[n].life == life)
-                   members[n].bytes_received += body.size() + http_overhead;
+                   members[n].traffic_of[kind].bytes_received +=
+                       body.size() + http_overhead;
                base::result<wire::http_reply> result =
                    base::fail(base::error_code::timeout, base::step::receive,
                               "platform", "no reply");
@@ -388,6 +414,7 @@
     }
 
     static constexpr std::uint64_t http_overhead = 120; ///< bytes of headers
+    static constexpr std::uint64_t frame_header = 4;    ///< bytes
 
     std::mt19937_64 random_;
     std::priority_queue<item> queue_;
