--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -40,7 +40,8 @@
     double platform_calls = 0; ///< a second, whole fleet
     double spread_ms = 0;      ///< longest time until in force everywhere
     double burst_ms = 0;
-    double seconds = 0; ///< measured
+    double word_age_s = 0; ///< mean age of what a node knows about another one
+    double seconds = 0;    ///< measured
     std::string busiest;
     decltype(virtual_fleet::member::traffic_of) busiest_traffic{};
 };
@@ -105,6 +106,21 @@
     return static_cast<double>(base::to_ms(all.now - start));
 }
 
+// A VM that was never heard of counts as heard when the fleet started.
+double mean_word_age(const virtual_fleet& all, base::instant start)
+{
+    double sum = 0;
+    for (const auto& it : all.members)
+        for (const auto& other : all.members)
+        {
+            const auto* row = it.agent->members().find(other.options.vm);
+            if (&it != &other)
+                sum += base::to_seconds(all.now - (row ? row->heard : start));
+        }
+    const double n = static_cast<double>(all.members.size());
+    return sum / n / (n - 1);
+}
+
 row measure(std::size_t members)
 {
     row out;
@@ -112,6 +128,7 @@
     const std::size_t data_centres = members >= 30 ? 6 : 3;
     const double heap = heap_mb();
     virtual_fleet all(members, data_centres, 1);
+    const auto fleet_start = all.now;
     for (std::size_t n = 0; n < upstreams; ++n)
         all.platform.put("upstream", "u" + std::to_string(n),
                          upstream_value(n, 2, data_centres));
@@ -146,6 +163,7 @@
     out.most_bytes = static_cast<double>(bytes_of(most)) / seconds;
     out.busiest = most.options.vm;
     out.busiest_traffic = most.traffic_of;
+    out.word_age_s = mean_word_age(all, fleet_start);
     out.memory_mb = (heap_mb() - heap) / n;
     out.burst_ms = change(all, burst_changes, data_centres);
     return out;
@@ -157,10 +175,11 @@
         json ? "{\"members\":%zu,\"mean_bytes_s\":%.0f,\"most_bytes_s\":%.0f,"
                "\"cpu_percent\":%.3f,\"memory_mb\":%.1f,"
                "\"platform_calls_s\":%.1f,\"spread_ms\":%.0f,"
-               "\"burst_ms\":%.0f}\n"
-             : "%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f\n";
+               "\"burst_ms\":%.0f,\"word_age_s\":%.1f}\n"
+             : "%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f %10.1f\n";
     std::printf(form, it.members, it.mean_bytes, it.most_bytes, it.cpu_percent,
-                it.memory_mb, it.platform_calls, it.spread_ms, it.burst_ms);
+                it.memory_mb, it.platform_calls, it.spread_ms, it.burst_ms,
+                it.word_age_s);
     std::fflush(stdout);
 }
 
@@ -199,9 +218,9 @@
     if (sizes.empty())
         sizes = {3, 9, 30, 100, 580};
     if (!json)
-        std::printf("%8s %12s %12s %8s %10s %14s %10s %9s\n", "members",
+        std::printf("%8s %12s %12s %8s %10s %14s %10s %9s %10s\n", "members",
                     "mean B/s", "most B/s", "cpu %", "MB a node",
-                    "platform c/s", "spread ms", "burst ms");
+                    "platform c/s", "spread ms", "burst ms", "word age s");
     for (const auto members : sizes)
     {
         const auto it = measure(members);
