Push news along the lease's tree inside a data centre

Cause: a watcher sent every change to each VM of its data centre, about 97 at the target, and each VM that learned its first list of VMs pushed the whole list to all of them. At 580 members pushed changes were the largest part of the busiest node's 3,551 B/s.

Change: news goes to the watchers first, from these along the tree in which the lease asks: each VM has two parents and at most eight children, and passes on only what is news to it. Leaving VMs have no rank and hear the watchers. Other data centres are told through one of their watchers instead of any VM. A VM that learns its first list pushes nothing: it is the one that was behind.

The lease's rule is untouched; only the tree's shape is shared (children_of).

--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -2,8 +2,9 @@
 // VMs, exchanges both with peers, and says which upstreams this VM may use.
 //
 // The first VMs of a data centre watch the platform for the others and push
-// what they learn; digests between random peers mend what pushes lost. A VM
-// whose view is not confirmed for a while watches for itself.
+// what they learn along the tree of view_lease; digests between random peers
+// mend what pushes lost. A VM whose view is not confirmed for a while watches
+// for itself.
 #ifndef MIMOSACROFT_FLEET_AGENT_HPP
 #define MIMOSACROFT_FLEET_AGENT_HPP
 
@@ -147,8 +148,9 @@
     bool apply(const wire::config_entry& entry, bool by_platform,
                core::effects& out);
     void take_view(fleet::view next, base::instant now, core::effects& out);
-    void push_config(const wire::config_push& news, core::effects& out);
-    void push_view(core::effects& out);
+    void push_config(const wire::config_push& news, const std::string& from,
+                     core::effects& out);
+    void push_view(const std::string& from, core::effects& out);
     wire::view_push view_for(std::uint64_t version) const;
     bool is_foreign(const std::string& vm) const;
     void sync_ownership(base::instant now);
@@ -170,7 +172,9 @@
 
     // Sending.
     std::vector<std::string> neighbours() const;
-    std::vector<std::string> one_of_each_other_data_centre();
+    bool enters_here(const std::string& from) const;
+    std::vector<std::string> push_targets(const std::string& from) const;
+    std::vector<std::string> one_of_each_other_data_centre(std::size_t most);
     void send(const std::string& vm, wire::message msg, core::effects& out);
     void send_lease(std::vector<view_lease::outgoing>& all, core::effects& out);
 
--- a/include/mimosacroft/fleet/view_lease.hpp
+++ b/include/mimosacroft/fleet/view_lease.hpp
@@ -73,6 +73,9 @@
 
     /// The VMs that a VM of this rank asks, in order of preference.
     static std::vector<std::size_t> parents_of(std::size_t rank);
+    /// The ranks below `count` that may ask a VM of this rank.
+    static std::vector<std::size_t> children_of(std::size_t rank,
+                                                std::size_t count);
 
 private:
     struct earlier_view
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -4,6 +4,7 @@
 #include "mimosacroft/fleet/platform_codec.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace mimosacroft::fleet
 {
@@ -166,7 +167,7 @@
     news.through = store_.through();
     ownership_.update(view_, catalog(), now);
     if (!first && !news.entries.empty())
-        push_config(news, out);
+        push_config(news, {}, out);
 }
 
 // Whether the answer is complete up to its version.
@@ -208,7 +209,7 @@
     if (version > view_.version())
     {
         take_view({version, std::move(parsed->entries)}, now, out);
-        push_view(out);
+        push_view({}, out);
     }
     if (version != view_.version())
         return;
@@ -234,10 +235,10 @@
         send(from, make_digest(0, true, now), out);
     news.through = store_.through();
     ownership_.update(view_, catalog(), now);
-    if (!first && !news.entries.empty() && is_foreign(from))
+    if (!first && !news.entries.empty() && !from.empty())
     {
         news.from = std::min(news.from, news.through);
-        push_config(news, out);
+        push_config(news, from, out);
     }
 }
 
@@ -281,8 +282,8 @@
     take_view(msg.base == 0 ? fleet::view(msg.version, msg.entries)
                             : view_.changed_by(msg),
               now, out);
-    if (is_foreign(from))
-        push_view(out);
+    if (!from.empty())
+        push_view(from, out);
     sync_ownership(now);
 }
 
@@ -317,11 +318,45 @@
     return entry && entry->data_centre != options_.data_centre;
 }
 
-void agent::push_config(const wire::config_push& news, core::effects& out)
+// Whether news came into the data centre by this VM; by the platform, if from
+// nobody.
+bool agent::enters_here(const std::string& from) const
 {
-    auto targets = neighbours();
-    std::ranges::copy(one_of_each_other_data_centre(),
-                      std::back_inserter(targets));
+    return from.empty() || is_foreign(from);
+}
+
+// The next VMs on the way of news through the data centre: first the watchers,
+// from these along the tree of the lease, in which each VM has two parents.
+std::vector<std::string> agent::push_targets(const std::string& from) const
+{
+    const auto members = view_.members_of(options_.data_centre);
+    const auto rank = view_.rank_of(options_.vm);
+    const bool watcher = rank && *rank < watchers_per_data_centre;
+    std::vector<std::string> out;
+    if (watcher || enters_here(from))
+        std::ranges::copy(members | std::views::take(watchers_per_data_centre),
+                          std::back_inserter(out));
+    if (rank)
+        for (const auto it : view_lease::children_of(*rank, members.size()))
+            out.push_back(members[it]);
+    // A VM that leaves has no place in the tree.
+    if (watcher)
+        for (const auto& it : view_.entries())
+            if (it.data_centre == options_.data_centre && it.leaving)
+                out.push_back(it.vm);
+    std::erase_if(out, [&](const std::string& it)
+                  { return it == options_.vm || it == from; });
+    return out;
+}
+
+void agent::push_config(const wire::config_push& news, const std::string& from,
+                        core::effects& out)
+{
+    auto targets = push_targets(from);
+    if (enters_here(from))
+        std::ranges::copy(
+            one_of_each_other_data_centre(watchers_per_data_centre),
+            std::back_inserter(targets));
     for (const auto& part : split_push(news, max_push_bytes))
         for (const auto& vm : targets)
             send(vm, part, out);
@@ -336,12 +371,13 @@
     return {view_.version(), view_.entries(), 0, {}};
 }
 
-void agent::push_view(core::effects& out)
+// A VM that learns its first view is the one that was behind.
+void agent::push_view(const std::string& from, core::effects& out)
 {
-    const auto before =
-        older_views_.empty() ? 0 : older_views_.back().version();
-    const auto push = view_for(before);
-    for (const auto& vm : neighbours())
+    if (older_views_.empty())
+        return;
+    const auto push = view_for(older_views_.back().version());
+    for (const auto& vm : push_targets(from))
         send(vm, push, out);
 }
 
@@ -352,14 +388,16 @@
     return out;
 }
 
-std::vector<std::string> agent::one_of_each_other_data_centre()
+// Drawn from the first VMs of each data centre, at most `most` of them.
+std::vector<std::string> agent::one_of_each_other_data_centre(std::size_t most)
 {
     std::vector<std::string> out;
     for (const auto& data_centre : view_.data_centres())
     {
         const auto all = view_.members_of(data_centre);
-        if (data_centre != options_.data_centre && !all.empty())
-            out.push_back(all[random_() % all.size()]);
+        const auto n = std::min(all.size(), most);
+        if (data_centre != options_.data_centre && n > 0)
+            out.push_back(all[random_() % n]);
     }
     return out;
 }
--- a/lib/fleet/agent_gossip.cpp
+++ b/lib/fleet/agent_gossip.cpp
@@ -240,7 +240,7 @@
     for (const auto& it : marks)
         out.emplace_back(leaving_event(it, it.server));
     auto targets = neighbours();
-    std::ranges::copy(one_of_each_other_data_centre(),
+    std::ranges::copy(one_of_each_other_data_centre(view_.entries().size()),
                       std::back_inserter(targets));
     for (const auto& vm : targets)
         send(vm, wire::leaving_push{marks}, out);
--- a/lib/fleet/view_lease.cpp
+++ b/lib/fleet/view_lease.cpp
@@ -37,6 +37,16 @@
     return {first, first ^ 1U};
 }
 
+std::vector<std::size_t> view_lease::children_of(std::size_t rank,
+                                                 std::size_t count)
+{
+    const auto first = watchers_per_data_centre + rank / 2 * children_per_pair;
+    std::vector<std::size_t> out;
+    for (auto it = first; it < std::min(first + children_per_pair, count); ++it)
+        out.push_back(it);
+    return out;
+}
+
 void view_lease::on_view(const view& current, base::instant now)
 {
     if (settled_)
