--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,7 +1,8 @@
 // Measures what control costs a node as the fleet grows: agents in one process
 // with virtual time, messages packed as on the wire. Usage: fleet_bench
-// [--json] [--kinds] [MEMBERS...]. With --kinds the busiest node's bytes are
-// shown by kind of message.
+// [--json] [--kinds] [--outage] [MEMBERS...]. With --kinds the busiest node's
+// bytes are shown by kind of message; with --outage the platform is away while
+// they are measured, and nothing changes.
 #include "../unittests/fleet/virtual_fleet.hpp"
 
 #include <array>
@@ -121,7 +122,7 @@
     return sum / n / (n - 1);
 }
 
-row measure(std::size_t members)
+row measure(std::size_t members, bool outage)
 {
     row out;
     out.members = members;
@@ -145,9 +146,12 @@
     const double cpu = cpu_seconds();
     const base::milliseconds gap(
         static_cast<long long>(86'400'000 / changes_per_day));
+    all.platform.down = outage;
     while (all.now - start < measured)
     {
-        out.spread_ms = std::max(out.spread_ms, change(all, 1, data_centres));
+        if (!outage)
+            out.spread_ms =
+                std::max(out.spread_ms, change(all, 1, data_centres));
         all.run(gap / 2);
     }
     const double seconds = out.seconds = base::to_seconds(all.now - start);
@@ -165,7 +169,8 @@
     out.busiest_traffic = most.traffic_of;
     out.word_age_s = mean_word_age(all, fleet_start);
     out.memory_mb = (heap_mb() - heap) / n;
-    out.burst_ms = change(all, burst_changes, data_centres);
+    if (!outage)
+        out.burst_ms = change(all, burst_changes, data_centres);
     return out;
 }
 
@@ -206,12 +211,15 @@
     std::vector<std::size_t> sizes;
     bool json = false;
     bool kinds = false;
+    bool outage = false;
     for (int n = 1; n < argc; ++n)
     {
         if (std::string(argv[n]) == "--json")
             json = true;
         else if (std::string(argv[n]) == "--kinds")
             kinds = true;
+        else if (std::string(argv[n]) == "--outage")
+            outage = true;
         else
             sizes.push_back(std::strtoul(argv[n], nullptr, 10));
     }
@@ -223,7 +231,7 @@
                     "platform c/s", "spread ms", "burst ms", "word age s");
     for (const auto members : sizes)
     {
-        const auto it = measure(members);
+        const auto it = measure(members, outage);
         print(it, json);
         if (kinds)
             print_kinds(it);
