--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,8 +1,11 @@
 // Measures what control costs a node as the fleet grows: agents in one process
 // with virtual time, messages packed as on the wire. Usage: fleet_bench
-// [--json] [MEMBERS...]
+// [--json] [--kinds] [--outage] [MEMBERS...]. With --kinds the busiest node's
+// bytes are shown by kind of message; with --outage the platform is away while
+// they are measured, and nothing changes.
 #include "../unittests/fleet/virtual_fleet.hpp"
 
+#include <array>
 #include <cstdio>
 #include <ctime>
 #include <malloc.h>
@@ -21,6 +24,13 @@
 constexpr base::milliseconds poll{10};
 constexpr int burst_changes = 50;
 
+/// In the order of virtual_fleet's kinds.
+constexpr std::array<const char*, virtual_fleet::kinds> kind_names{
+    "hello",         "proof",           "forward",     "forward_answer",
+    "cancel",        "config_push",     "digest",      "view_push",
+    "leaving_push",  "view_ask",        "view_answer", "drain_notice",
+    "platform list", "platform changes"};
+
 struct row
 {
     std::size_t members = 0;
@@ -31,8 +41,20 @@
     double platform_calls = 0; ///< a second, whole fleet
     double spread_ms = 0;      ///< longest time until in force everywhere
     double burst_ms = 0;
+    double word_age_s = 0; ///< mean age of what a node knows about another one
+    double seconds = 0;    ///< measured
+    std::string busiest;
+    decltype(virtual_fleet::member::traffic_of) busiest_traffic{};
 };
 
+std::uint64_t bytes_of(const virtual_fleet::member& it)
+{
+    std::uint64_t out = 0;
+    for (const auto& kind : it.traffic_of)
+        out += kind.bytes();
+    return out;
+}
+
 double cpu_seconds()
 {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -85,13 +107,29 @@
     return static_cast<double>(base::to_ms(all.now - start));
 }
 
-row measure(std::size_t members)
+// A VM that was never heard of counts as heard when the fleet started.
+double mean_word_age(const virtual_fleet& all, base::instant start)
+{
+    double sum = 0;
+    for (const auto& it : all.members)
+        for (const auto& other : all.members)
+        {
+            const auto* row = it.agent->members().find(other.options.vm);
+            if (&it != &other)
+                sum += base::to_seconds(all.now - (row ? row->heard : start));
+        }
+    const double n = static_cast<double>(all.members.size());
+    return sum / n / (n - 1);
+}
+
+row measure(std::size_t members, bool outage)
 {
     row out;
     out.members = members;
     const std::size_t data_centres = members >= 30 ? 6 : 3;
     const double heap = heap_mb();
     virtual_fleet all(members, data_centres, 1);
+    const auto fleet_start = all.now;
     for (std::size_t n = 0; n < upstreams; ++n)
         all.platform.put("upstream", "u" + std::to_string(n),
                          upstream_value(n, 2, data_centres));
@@ -99,30 +137,40 @@
         all.start(n);
     all.run(base::seconds(30));
     for (auto& it : all.members)
-        it.bytes_sent = it.bytes_received = it.platform_calls = 0;
+    {
+        it.traffic_of = {};
+        it.platform_calls = 0;
+    }
 
     const auto start = all.now;
     const double cpu = cpu_seconds();
     const base::milliseconds gap(
         static_cast<long long>(86'400'000 / changes_per_day));
+    all.platform.down = outage;
     while (all.now - start < measured)
     {
-        out.spread_ms = std::max(out.spread_ms, change(all, 1, data_centres));
+        if (!outage)
+            out.spread_ms =
+                std::max(out.spread_ms, change(all, 1, data_centres));
         all.run(gap / 2);
     }
-    const double seconds = base::to_seconds(all.now - start);
+    const double seconds = out.seconds = base::to_seconds(all.now - start);
     const double n = static_cast<double>(members);
     out.cpu_percent = (cpu_seconds() - cpu) / seconds / n * 100;
     for (const auto& it : all.members)
     {
-        const double bytes =
-            static_cast<double>(it.bytes_sent + it.bytes_received) / seconds;
+        const double bytes = static_cast<double>(bytes_of(it)) / seconds;
         out.mean_bytes += bytes / n;
-        out.most_bytes = std::max(out.most_bytes, bytes);
         out.platform_calls += static_cast<double>(it.platform_calls) / seconds;
     }
+    const auto& most = *std::ranges::max_element(all.members, {}, bytes_of);
+    out.most_bytes = static_cast<double>(bytes_of(most)) / seconds;
+    out.busiest = most.options.vm;
+    out.busiest_traffic = most.traffic_of;
+    out.word_age_s = mean_word_age(all, fleet_start);
     out.memory_mb = (heap_mb() - heap) / n;
-    out.burst_ms = change(all, burst_changes, data_centres);
+    if (!outage)
+        out.burst_ms = change(all, burst_changes, data_centres);
     return out;
 }
 
@@ -132,32 +180,60 @@
         json ? "{\"members\":%zu,\"mean_bytes_s\":%.0f,\"most_bytes_s\":%.0f,"
                "\"cpu_percent\":%.3f,\"memory_mb\":%.1f,"
                "\"platform_calls_s\":%.1f,\"spread_ms\":%.0f,"
-               "\"burst_ms\":%.0f}\n"
-             : "%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f\n";
+               "\"burst_ms\":%.0f,\"word_age_s\":%.1f}\n"
+             : "%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f %10.1f\n";
     std::printf(form, it.members, it.mean_bytes, it.most_bytes, it.cpu_percent,
-                it.memory_mb, it.platform_calls, it.spread_ms, it.burst_ms);
+                it.memory_mb, it.platform_calls, it.spread_ms, it.burst_ms,
+                it.word_age_s);
     std::fflush(stdout);
 }
 
+void print_kinds(const row& it)
+{
+    std::printf("  busiest: %s\n  %-16s %12s %12s %12s\n", it.busiest.c_str(),
+                "kind", "messages/s", "sent B/s", "received B/s");
+    for (std::size_t n = 0; n < kind_names.size(); ++n)
+    {
+        const auto& kind = it.busiest_traffic[n];
+        const auto rate = [&it](std::uint64_t count)
+        { return static_cast<double>(count) / it.seconds; };
+        if (kind.bytes() > 0)
+            std::printf("  %-16s %12.2f %12.0f %12.0f\n", kind_names[n],
+                        rate(kind.messages_sent), rate(kind.bytes_sent),
+                        rate(kind.bytes_received));
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     std::vector<std::size_t> sizes;
     bool json = false;
+    bool kinds = false;
+    bool outage = false;
     for (int n = 1; n < argc; ++n)
     {
         if (std::string(argv[n]) == "--json")
             json = true;
+        else if (std::string(argv[n]) == "--kinds")
+            kinds = true;
+        else if (std::string(argv[n]) == "--outage")
+            outage = true;
         else
             sizes.push_back(std::strtoul(argv[n], nullptr, 10));
     }
     if (sizes.empty())
         sizes = {3, 9, 30, 100, 580};
     if (!json)
-        std::printf("%8s %12s %12s %8s %10s %14s %10s %9s\n", "members",
+        std::printf("%8s %12s %12s %8s %10s %14s %10s %9s %10s\n", "members",
                     "mean B/s", "most B/s", "cpu %", "MB a node",
-                    "platform c/s", "spread ms", "burst ms");
+                    "platform c/s", "spread ms", "burst ms", "word age s");
     for (const auto members : sizes)
-        print(measure(members), json);
+    {
+        const auto it = measure(members, outage);
+        print(it, json);
+        if (kinds)
+            print_kinds(it);
+    }
 }
