Pay retries of attempts without work from a reserve

A failing server answers in 2.2 ms (median of its upstream 4.9 ms), so it always has a free slot and draws calls while the other server is busy, until it is ejected after 5 failed calls. A call holds 5 subqueries, the budget's burst is 10: from the third failed call on, retries are refused. With everything off there is no budget, so each retry goes to the other server and none is lacking.

Change: a second bucket for each upstream (5% of first attempts, burst 320) pays for retries of attempts that the server refused, or answered with a failure in under three quarters of the median latency. All other retries and all hedges pay the budget as before. A request that may not be repeated is still retried only if the server's word says that it did not run.

Retries without limit would double the calls of a failing upstream. A part of the 5% set aside is too small for one call.

Tests: three new ones failed before (a_whole_batch_that_failed_at_once..., a_whole_batch_that_was_refused..., retries_of_failures_at_once_keep_to_their_ reserve); three more hold the limits and passed before and after.

--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -156,7 +156,8 @@
     struct lane
     {
         work_queue<task_key> waiting;
-        extra_budget budget;
+        extra_budget budget;        ///< hedges, and retries beyond the reserve
+        extra_budget retry_reserve; ///< retries of attempts without work
         latency_tracker latency;
         base::instant unusable{}; ///< last time this VM had no share
     };
@@ -217,6 +218,8 @@
                   const copy_end& how, base::instant now, core::effects& out);
     bool may_retry(const task_key& key, const open_call& call,
                    const copy_end& how, base::instant now);
+    bool pay_for_retry(const open_call& call, const copy_end& how,
+                       base::instant now);
     void refuse(const std::string& server, std::string reason,
                 core::effects& out);
     void add_spans(const open_call& call, base::instant now);
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -24,6 +24,13 @@
 constexpr base::milliseconds min_hedge_delay{1};
 constexpr double typical_quantile = 0.5;
 
+/// A failure counts as one without work if it took less than this share of the
+/// usual latency.
+constexpr double quick_share = 0.75;
+
+/// A failing server can get this many full batches before it is ejected.
+constexpr extra_budget_options retry_reserve{.burst = 5 * max_batch};
+
 // The query, shard and attempt of the root, then the leaf's process, call and
 // position in it: a cancel must not reach the subquery of another leaf.
 std::string subquery_id(const wire::forward& request, std::uint32_t shard,
@@ -58,8 +65,9 @@
 struct leaf::copy_end
 {
     model::lack_reason reason = model::lack_reason::failed;
-    bool ran = true;     ///< may have run at the server
-    bool written = true; ///< bytes of it went to the server
+    bool ran = true;      ///< may have run at the server
+    bool written = true;  ///< bytes of it went to the server
+    bool answered = true; ///< the server itself said how it ended
 };
 
 leaf::leaf(fleet::agent& fleet, leaf_options options)
@@ -74,9 +82,12 @@
     const auto it = lanes_.find(upstream);
     if (it != lanes_.end())
         return it->second;
+    auto reserve = retry_reserve;
+    reserve.enabled = options_.budget;
     lane made{work_queue<task_key>(
                   work_queue_options{.priorities = options_.priorities}),
               extra_budget(extra_budget_options{.enabled = options_.budget}),
+              extra_budget(reserve),
               {},
               {}};
     return lanes_.emplace(upstream, std::move(made)).first->second;
@@ -310,6 +321,7 @@
         if (task.attempts == 0)
         {
             lane.budget.on_first_attempt();
+            lane.retry_reserve.on_first_attempt();
             // A wait for this VM's share says nothing of the servers' load.
             task.waited = now - std::max(forward.started, lane.unusable);
             ++totals_.first_attempts;
@@ -467,7 +479,7 @@
                      {unsent ? unreachable
                       : late ? timeout
                              : failed,
-                      !unsent, !unsent},
+                      !unsent, !unsent, false},
                      base::to_string(reply.error()), now, out);
     }
     else if (const auto refusal = decode_refusal(*reply))
@@ -648,8 +660,6 @@
     enqueue(key, now, out);
 }
 
-// An attempt that was never written put no load on a server, so that trying
-// another one costs no budget.
 bool leaf::may_retry(const task_key& key, const open_call& call,
                      const copy_end& how, base::instant now)
 {
@@ -663,7 +673,25 @@
     if (!chooser_.has_candidate(*upstream, limits_of(*upstream, task, now),
                                 now))
         return false;
-    return !how.written || lane_of(call.upstream).budget.take();
+    return pay_for_retry(call, how, now);
+}
+
+// An attempt that was never written put no load on a server. One that its
+// server refused, or failed at once, put next to none: its retry is paid from
+// the reserve, as a batch that meets a failing server is larger than the whole
+// budget. A broken connection does not tell what the server goes on doing.
+bool leaf::pay_for_retry(const open_call& call, const copy_end& how,
+                         base::instant now)
+{
+    using enum model::lack_reason;
+    if (!how.written)
+        return true;
+    auto& lane = lane_of(call.upstream);
+    const auto usual = lane.latency.quantile(typical_quantile);
+    const bool quick = how.answered && how.reason != wrong_epoch &&
+                       now - call.sent < usual * quick_share;
+    const bool without_work = how.reason == refused || quick;
+    return (without_work && lane.retry_reserve.take()) || lane.budget.take();
 }
 
 void leaf::add_spans(const open_call& call, base::instant now)
--- a/unittests/query/leaf_fixture.hpp
+++ b/unittests/query/leaf_fixture.hpp
@@ -155,6 +155,12 @@
 
     void refuse(std::uint64_t id) { reply(id, {{"refused", "overload"}}, 503); }
 
+    /// The server answers that it failed.
+    void reply_failed(std::uint64_t id)
+    {
+        reply(id, {{"error", "failed"}}, 500);
+    }
+
     void fail(std::uint64_t id, base::error_code code)
     {
         sent.erase(id);
--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -357,6 +357,73 @@
     CHECK(stats.hedges <= 10 + 1);
 }
 
+TEST(leaf, a_whole_batch_that_failed_at_once_goes_elsewhere)
+{
+    rig.warm_up();
+    rig.forward(1, 64);
+    const auto address = rig.sent.at(rig.work().at(0)).address;
+    rig.reply_failed(rig.work().at(0));
+    LONGS_EQUAL(1, rig.work().size());
+    CHECK(rig.sent.at(rig.work().at(0)).address != address);
+    rig.reply_ok(rig.work().at(0));
+    const auto reports = rig.reports();
+    LONGS_EQUAL(64, reports.size());
+    CHECK(std::ranges::all_of(reports, &wire::shard_report::included));
+}
+
+TEST(leaf, a_whole_batch_that_was_refused_before_start_goes_elsewhere)
+{
+    rig.forward(1, 64);
+    rig.tick(milliseconds(50));
+    rig.refuse(rig.work().at(0));
+    rig.reply_ok(rig.work().at(0));
+    const auto reports = rig.reports();
+    LONGS_EQUAL(64, reports.size());
+    CHECK(std::ranges::all_of(reports, &wire::shard_report::included));
+}
+
+TEST(leaf, a_batch_that_failed_after_its_usual_time_pays_the_budget)
+{
+    rig.warm_up();
+    rig.forward(1, 64);
+    rig.tick(milliseconds(10));
+    rig.reply_failed(rig.work().at(0));
+    CHECK(rig.leaf.stats(rig.now).retries <= 10 + 0.05 * 64);
+}
+
+TEST(leaf, a_batch_whose_connection_broke_at_once_pays_the_budget)
+{
+    rig.warm_up();
+    rig.forward(1, 64);
+    rig.fail(rig.work().at(0), base::error_code::broken);
+    CHECK(rig.leaf.stats(rig.now).retries <= 10 + 0.05 * 64);
+}
+
+TEST(leaf, what_may_not_be_repeated_is_sent_once_though_it_failed_at_once)
+{
+    rig.warm_up();
+    rig.forward(1, 1, 300, false);
+    rig.reply_failed(rig.work().at(0));
+    LONGS_EQUAL(0, rig.work().size());
+    CHECK(rig.reports().at(0).maybe_run);
+}
+
+TEST(leaf, retries_of_failures_at_once_keep_to_their_reserve)
+{
+    rig.warm_up();
+    for (std::uint32_t n = 1; n <= 100; ++n)
+    {
+        rig.forward(n, 64);
+        while (!rig.work().empty())
+            rig.reply_failed(rig.work().at(0));
+    }
+    const auto stats = rig.leaf.stats(rig.now);
+    LONGS_EQUAL(60 + 6400, stats.first_attempts);
+    const double share = 0.05 * static_cast<double>(stats.first_attempts);
+    CHECK(static_cast<double>(stats.retries) <= 10 + 320 + 2 * share);
+    CHECK(static_cast<double>(stats.retries) >= 320);
+}
+
 TEST(leaf, a_restarted_sender_may_use_its_numbers_again)
 {
     rig.forward(1, 1);
