An older list is taken up within a handover; found by the property tests

Change - An older list is taken up after three in a row (about 1.5 s, less than the handover) instead of 10 s. - A VM that hears of a newer view has its own confirmed no more (view_lease.the_platform_does_not_confirm_what_a_vm_knows_to_be_replaced, failed first). - A VM that left the list got no answers, since the others knew its address no more, so it could go on with the old view once the platform was restored to it. Addresses of older lists are used now (agents.a_vm_that_left_the_list_hears_so_from_its_peers; not run before the change).

Left: a list restored while the VMs with the newer one are cut off from the reader and the platform, but have a quorum (docs/design/membership.md).

--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -45,8 +45,6 @@
     base::milliseconds platform_retry{500};
     /// A VM watches for itself when its view was not confirmed for this long.
     base::milliseconds watcher_silence{4000};
-    /// An older list of the platform is taken up when it stays for this long.
-    base::milliseconds older_list_wait{10'000};
 };
 
 class agent
@@ -202,8 +200,7 @@
     std::map<std::uint64_t, open_call> calls_; ///< at most one of each kind
     /// Addresses of VMs that are in no list, by what they said themselves.
     std::map<std::string, std::string> strangers_;
-    /// Since when the platform's list is older than view_; never if it is not.
-    base::instant list_older_ = base::never;
+    unsigned older_lists_ = 0; ///< lists in a row that were older than view_
     /// When the platform's list was read last; never if a call failed since.
     base::instant list_read_ = base::never;
     std::uint64_t sequence_ = 0;
--- a/include/mimosacroft/fleet/view_lease.hpp
+++ b/include/mimosacroft/fleet/view_lease.hpp
@@ -5,7 +5,8 @@
 // version, counted from when the question was sent; by a VM that was confirmed
 // itself, counted from when the question was sent and the age in the answer;
 // or, while the platform is away, by a quorum of the data centre that holds
-// this very version. A confirmation never gets younger by being passed on.
+// this very version. A confirmation never gets younger by being passed on. A VM
+// that hears of a newer view has its own confirmed no more.
 //
 // A new view is settled once a quorum of itself, and of each view since the
 // last settled one, holds it or a newer one: from then on no quorum can confirm
@@ -107,7 +108,8 @@
     std::vector<std::string> parents_; ///< empty for a VM that asks nobody
     base::instant confirmed_{};        ///< only grows within a view
     bool ever_ = false;                ///< confirmed_ holds
-    bool counts_ = false; ///< was confirmed since the process started
+    bool replaced_ = false; ///< a VM holds a newer view; nothing confirms this
+    bool counts_ = false;   ///< was confirmed since the process started
     bool settled_ = false;
     base::instant view_since_{};
     std::set<std::string> moved_; ///< known to hold version_ or a newer one
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -21,6 +21,9 @@
 /// since a store that came back older may have passed the versions known here.
 constexpr base::seconds reread_after{2};
 
+/// Older lists in a row after which the platform's list itself is older.
+constexpr unsigned lists_until_older = 3;
+
 /// Versions of the platform's list in one generation. The version of a view is
 /// the platform's plus one span for each older list that was taken up, so that
 /// views have one order.
@@ -127,8 +130,7 @@
     }
     else
     {
-        const bool sure = list_read_ != base::never &&
-                          list_older_ == base::never &&
+        const bool sure = list_read_ != base::never && older_lists_ == 0 &&
                           now - list_read_ <= reread_after;
         const auto after = sure ? view_.version() % generation_span : 0;
         id = platform_.get("/v1/vms", "after=" + std::to_string(after),
@@ -214,7 +216,7 @@
     list_read_ = now;
     if (!take_list(*parsed, now, out))
         return;
-    list_older_ = base::never;
+    older_lists_ = 0;
     std::vector<view_lease::outgoing> answers;
     lease_.on_platform(call.asked, now, answers);
     send_lease(answers, out);
@@ -243,15 +245,12 @@
 bool agent::take_older_list(const wire::view_push& list, base::instant now,
                             core::effects& out)
 {
-    if (list_older_ == base::never)
-    {
-        list_older_ = now;
+    if (++older_lists_ == 1)
         out.emplace_back(
             core::log_event{core::event_id::view_older,
                             {{"version", std::to_string(list.version)},
                              {"in_use", std::to_string(view_.version())}}});
-    }
-    if (now - list_older_ < options_.older_list_wait || list.entries.empty())
+    if (older_lists_ < lists_until_older || list.entries.empty())
         return false;
     const auto generation = view_.version() / generation_span + 1;
     take_view({generation * generation_span + list.version, list.entries}, now,
@@ -410,6 +409,10 @@
 void agent::send(const std::string& vm, wire::message msg, core::effects& out)
 {
     const auto* entry = view_.find(vm);
+    // A VM that left the list asks with the older one until it hears so.
+    for (auto it = older_views_.rbegin(); !entry && it != older_views_.rend();
+         ++it)
+        entry = it->find(vm);
     const auto stranger = strangers_.find(vm);
     if (entry)
         out.emplace_back(
--- a/lib/fleet/view_lease.cpp
+++ b/lib/fleet/view_lease.cpp
@@ -46,6 +46,7 @@
     members_ = current.all_of(data_centre_);
     version_ = current.version();
     ever_ = false;
+    replaced_ = false;
     settled_ = false;
     view_since_ = now;
     moved_ = {self_};
@@ -84,7 +85,7 @@
 void view_lease::renew(base::instant at, base::instant now,
                        std::vector<outgoing>& out)
 {
-    if (ever_ && at <= confirmed_)
+    if (replaced_ || (ever_ && at <= confirmed_))
         return;
     confirmed_ = at;
     ever_ = true;
@@ -129,6 +130,7 @@
         moved_.insert(from);
         check_settled();
     }
+    replaced_ = replaced_ || msg.view_version > version_;
     const held_ask ask{msg.sequence, now};
     const auto told = told_.find(from);
     const bool news =
@@ -145,6 +147,7 @@
 {
     if (version_ > 0 && msg.view_version >= version_)
         moved_.insert(from);
+    replaced_ = replaced_ || msg.view_version > version_;
     const bool same = msg.view_version == version_;
     if (msg.sequence == round_ && same && msg.counts)
         round_same_.insert(from);
--- a/unittests/fleet/agent_test.cpp
+++ b/unittests/fleet/agent_test.cpp
@@ -91,6 +91,20 @@
     LONGS_EQUAL(2, slots);
 }
 
+TEST(agents, a_vm_that_left_the_list_hears_so_from_its_peers)
+{
+    virtual_fleet all(4, 1, 1);
+    start_all(all);
+    all.run(base::seconds(10));
+    all.passes = [](std::size_t from, std::size_t to)
+    { return (from != 3 || to != 4) && (from != 4 || to != 3); };
+    auto shorter = all.platform.vms;
+    shorter.pop_back();
+    all.platform.set_vms(shorter);
+    all.run(base::seconds(5));
+    LONGS_EQUAL(3, all.members[3].agent->view().entries().size());
+}
+
 TEST(agents, a_view_settles_after_one_without_vms)
 {
     virtual_fleet all(3, 1, 1);
--- a/unittests/fleet/view_lease_test.cpp
+++ b/unittests/fleet/view_lease_test.cpp
@@ -116,6 +116,18 @@
     CHECK_FALSE(lease.fresh(now));
 }
 
+TEST(view_lease, the_platform_does_not_confirm_what_a_vm_knows_to_be_replaced)
+{
+    confirm_by_platform(test_start);
+    answer("b", round(test_start + seconds(2)), 6, true,
+           test_start + seconds(2));
+    confirm_by_platform(test_start + seconds(3));
+    CHECK_FALSE(lease.fresh(test_start + seconds(3)));
+    lease.on_view(view_of(6, {"a", "b"}), test_start + seconds(3));
+    confirm_by_platform(test_start + seconds(3));
+    CHECK(lease.fresh(test_start + seconds(3)));
+}
+
 TEST(view_lease, a_late_answer_to_an_earlier_round_does_not_count)
 {
     confirm_by_platform(test_start);
