Fakes of the platform say "unchanged" for a list that is the newest

No platform says so of a list with VMs, and an agent now takes it for an older list.

The tests and their checks are unchanged.

The benches were not run.

--- a/bench/leaf_bench.cpp
+++ b/bench/leaf_bench.cpp
@@ -73,7 +73,7 @@
     to.on_tick(start, asked);
     wire::http_reply newest;
     newest.status = 200;
-    newest.body = R"({"version": 1, "vms": []})";
+    newest.body = R"({"version": 1, "unchanged": true})";
     for (const auto& it : asked)
         if (const auto* call = std::get_if<core::http_call>(&it))
             to.on_http_reply(call->id, newest, start, ignored);
--- a/unittests/query/leaf_fixture.hpp
+++ b/unittests/query/leaf_fixture.hpp
@@ -53,7 +53,7 @@
         agent.on_tick(now, asked);
         wire::http_reply reply;
         reply.status = 200;
-        reply.body = R"({"version": 1, "vms": []})";
+        reply.body = R"({"version": 1, "unchanged": true})";
         core::effects ignored;
         for (const auto& it : asked)
             if (const auto* call = std::get_if<core::http_call>(&it))
