Ask a parent for the next confirmation as soon as one came

Besides the two watchers, VMs deep in the tree asked the whole data centre: a VM asked its parent again with its next tick, up to 200 ms later, at each level of the tree, and three levels let a confirmation grow older than 1,350 ms.

Change: an answer with a confirmation is followed by the next ask at once. The parent holds it until it has news, so that there are no more asks than confirmations. Any other answer waits for the tick as before. The rule by which ages count is the same.

--- a/lib/fleet/view_lease.cpp
+++ b/lib/fleet/view_lease.cpp
@@ -163,7 +163,12 @@
         parent_ask_ = 0;
         settled_ = settled_ || (same && msg.settled);
         if (same && msg.confirmed)
+        {
             renew(parent_asked_ + base::microseconds(msg.offset_us), now, out);
+            // The parent holds this ask until it has news, so that no level of
+            // the tree adds a tick to the age.
+            ask_parent(now, out);
+        }
         else
             ++parent_turn_;
     }
