--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,9 +1,11 @@
 // Measures what control costs a node as the fleet grows: agents in one process
 // with virtual time, messages packed as on the wire. Usage: fleet_bench
-// [--json] [--kinds] [--outage] [MEMBERS...]. With --kinds the busiest node's
-// bytes are shown by kind of message; with --outage the platform is away while
-// they are measured, and nothing changes.
+// [--kinds] [--outage] [MEMBERS...], or fleet_bench --slopes [MEMBERS...].
+// With --kinds the busiest node's bytes are shown by kind of message; with
+// --outage the platform is away while they are measured, and nothing changes.
+// --slopes measures both and writes the JSON for bench/slopes.
 #include "../unittests/fleet/virtual_fleet.hpp"
+#include "slopes.hpp"
 
 #include <array>
 #include <cstdio>
@@ -174,15 +176,17 @@
     return out;
 }
 
-void print(const row& it, bool json)
+void print_head()
 {
-    const char* form =
-        json ? "{\"members\":%zu,\"mean_bytes_s\":%.0f,\"most_bytes_s\":%.0f,"
-               "\"cpu_percent\":%.3f,\"memory_mb\":%.1f,"
-               "\"platform_calls_s\":%.1f,\"spread_ms\":%.0f,"
-               "\"burst_ms\":%.0f,\"word_age_s\":%.1f}\n"
-             : "%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f %10.1f\n";
-    std::printf(form, it.members, it.mean_bytes, it.most_bytes, it.cpu_percent,
+    std::printf("%8s %12s %12s %8s %10s %14s %10s %9s %10s\n", "members",
+                "mean B/s", "most B/s", "cpu %", "MB a node", "platform c/s",
+                "spread ms", "burst ms", "word age s");
+}
+
+void print(const row& it)
+{
+    std::printf("%8zu %12.0f %12.0f %8.3f %10.1f %14.1f %10.0f %9.0f %10.1f\n",
+                it.members, it.mean_bytes, it.most_bytes, it.cpu_percent,
                 it.memory_mb, it.platform_calls, it.spread_ms, it.burst_ms,
                 it.word_age_s);
     std::fflush(stdout);
@@ -204,36 +208,53 @@
     }
 }
 
+void add(bench::slopes& all, const std::string& prefix, const row& it)
+{
+    const auto n = static_cast<double>(it.members);
+    all.add(prefix + "_mean_bytes_s_by_members", n, it.mean_bytes);
+    all.add(prefix + "_most_bytes_s_by_members", n, it.most_bytes);
+    all.add(prefix + "_cpu_percent_by_members", n, it.cpu_percent);
+    all.add(prefix + "_memory_mb_by_members", n, it.memory_mb);
+    all.add(prefix + "_platform_calls_s_by_members", n, it.platform_calls);
+    all.add(prefix + "_spread_ms_by_members", n, it.spread_ms);
+    all.add(prefix + "_word_age_s_by_members", n, it.word_age_s);
+}
+
+void print_slopes(const std::vector<std::size_t>& sizes)
+{
+    bench::slopes all;
+    for (const auto members : sizes)
+    {
+        add(all, "control", measure(members, false));
+        add(all, "outage", measure(members, true));
+    }
+    all.print("fleet_bench");
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     std::vector<std::size_t> sizes;
-    bool json = false;
-    bool kinds = false;
-    bool outage = false;
-    for (int n = 1; n < argc; ++n)
-    {
-        if (std::string(argv[n]) == "--json")
-            json = true;
-        else if (std::string(argv[n]) == "--kinds")
-            kinds = true;
-        else if (std::string(argv[n]) == "--outage")
-            outage = true;
+    std::set<std::string> options;
+    for (const auto& it : std::vector<std::string>(argv + 1, argv + argc))
+        if (it.starts_with("--"))
+            options.insert(it);
         else
-            sizes.push_back(std::strtoul(argv[n], nullptr, 10));
-    }
+            sizes.push_back(std::stoul(it));
     if (sizes.empty())
         sizes = {3, 9, 30, 100, 580};
-    if (!json)
-        std::printf("%8s %12s %12s %8s %10s %14s %10s %9s %10s\n", "members",
-                    "mean B/s", "most B/s", "cpu %", "MB a node",
-                    "platform c/s", "spread ms", "burst ms", "word age s");
+    if (options.contains("--slopes"))
+    {
+        print_slopes(sizes);
+        return 0;
+    }
+    print_head();
     for (const auto members : sizes)
     {
-        const auto it = measure(members, outage);
-        print(it, json);
-        if (kinds)
+        const auto it = measure(members, options.contains("--outage"));
+        print(it);
+        if (options.contains("--kinds"))
             print_kinds(it);
     }
 }
