Refuse a handover shorter than twice a view's time to live

With a handover below twice the time to live, two owners could use one server; the process tests did so (300 and 500 ms against 1500 ms).

Change: a program may check settings that have to fit together; mimosad refuses such a pair, and wrong seeds (which ended with exit code 1 and no value), with one line and exit code 2. The process tests wait 3000 ms. A start that is taken by mistake ends settings.a_wrong_one_stops_the_start_with_one_line at its limit.

Ruled out: a shorter time to live in the tests. The platform is asked every 500 ms, so 1000 ms or less would tie answers to the timing of a busy machine.

Before: settings.a_wrong_one_stops_the_start_with_one_line did not end (mimosad started). After: passes (build/release/daemon_test -v -g settings, 273 ms). Cost: each process fleet starts about 2.5 s later.

--- a/include/mimosacroft/daemon/settings.hpp
+++ b/include/mimosacroft/daemon/settings.hpp
@@ -7,6 +7,7 @@
 #include "mimosacroft/base/error.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -44,6 +45,10 @@
         std::string source; ///< "flag", "environment" or "default"
     };
 
+    const value& find(const std::string& name) const
+    {
+        return values_.at(name);
+    }
     const std::string& text(const std::string& name) const;
     std::uint64_t number(const std::string& name) const;
     bool flag(const std::string& name) const;
@@ -71,8 +76,14 @@
     std::vector<setting_spec> specs;
     std::string arguments =
         {}; ///< help for positional arguments; none if empty
+    /// What is wrong with values that are allowed one by one; empty if nothing.
+    std::function<std::string(const settings&)> problem = {};
 };
 
+/// The line for a setting whose value is not allowed.
+std::string refused_setting(const std::string& name, const settings::value& it,
+                            const std::string& allowed);
+
 /// Environment variable of a setting: MIMOSA_ and the name in capitals.
 std::string environment_name(std::string_view setting);
 
--- a/lib/daemon/settings.cpp
+++ b/lib/daemon/settings.cpp
@@ -80,9 +80,8 @@
                    : std::string();
     if (is_allowed(spec, it.text))
         return {};
-    return "setting " + spec.name + ": found " +
-           (spec.secret ? "a secret" : "\"" + it.text + "\"") + " (" +
-           it.source + "), allowed is " + allowed_by(spec);
+    const settings::value shown{spec.secret ? "a secret" : it.text, it.source};
+    return refused_setting(spec.name, shown, allowed_by(spec));
 }
 
 cxxopts::Options options_of(const program& it)
@@ -133,6 +132,13 @@
     return out;
 }
 
+std::string refused_setting(const std::string& name, const settings::value& it,
+                            const std::string& allowed)
+{
+    return "setting " + name + ": found \"" + it.text + "\" (" + it.source +
+           "), allowed is " + allowed;
+}
+
 const std::string& settings::text(const std::string& name) const
 {
     return values_.at(name).text;
@@ -186,6 +192,9 @@
         if (auto problem = check(spec, out.values_.at(spec.name));
             !problem.empty())
             return wrong(std::move(problem));
+    if (auto problem = it.problem ? it.problem(out) : std::string();
+        !problem.empty())
+        return wrong(std::move(problem));
     return out;
 }
 
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -1,5 +1,6 @@
 // mimosad: the daemon of an entry VM.
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/base/text.hpp"
 #include "mimosacroft/daemon/caller_api.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
 #include "mimosacroft/daemon/operator_api.hpp"
@@ -14,8 +15,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <future>
-#include <regex>
-#include <sstream>
+#include <optional>
 #include <thread>
 
 namespace
@@ -24,6 +24,8 @@
 using namespace mimosacroft;
 using daemon::setting_kind;
 
+std::string problem_of(const daemon::settings& s);
+
 const daemon::program this_program = {
     "mimosad",
     "The entry VM's daemon of mimosacroft",
@@ -83,7 +85,8 @@
         {.name = "handover-wait-ms",
          .kind = setting_kind::number,
          .fallback = "3500",
-         .help = "from gaining an upstream to using it",
+         .help = "from gaining an upstream to using it; at least twice "
+                 "view-ttl-ms",
          .least = 0,
          .most = 120'000},
         {.name = "hedging",
@@ -109,7 +112,9 @@
                  "time, until the balancer has seen /ready refuse",
          .least = 0,
          .most = 60'000},
-    }};
+    },
+    {},
+    problem_of};
 
 wire::http_reply plain(unsigned status, std::string text)
 {
@@ -214,24 +219,38 @@
     return daemon::refusal(404, "nothing is at the path " + path);
 }
 
-// Rows "id,data-centre,address" with ";" between; throws on another form.
-std::vector<wire::view_entry> seeds_of(const std::string& text)
+// Rows "id,data-centre,address" with ";" between; nothing if one has another
+// form.
+std::optional<std::vector<wire::view_entry>> seeds_of(const std::string& text)
 {
-    static const std::regex form(R"(([^,;]+),([^,;]+),([^,;]+:\d+))");
     std::vector<wire::view_entry> out;
-    std::istringstream rows(text);
-    for (std::string row; std::getline(rows, row, ';');)
+    for (const auto& row : base::split(text, ';'))
     {
-        std::smatch parts;
-        if (!std::regex_match(row, parts, form))
-            throw std::runtime_error("setting seeds: \"" + row +
-                                     "\" is not of the form "
-                                     "id,data-centre,ip:port");
-        out.push_back({parts[1], parts[2], parts[3], false});
+        const auto parts = base::split(row, ',');
+        if (parts.size() != 3 || parts[0].empty() || parts[1].empty() ||
+            !base::is_address(parts[2]))
+            return std::nullopt;
+        out.push_back({parts[0], parts[1], parts[2], false});
     }
     return out;
 }
 
+// A VM that loses an upstream may act on its view for one time to live, and the
+// requests that it sent under it end within another one.
+std::string problem_of(const daemon::settings& s)
+{
+    const auto least = 2 * s.number("view-ttl-ms");
+    if (s.number("handover-wait-ms") < least)
+        return daemon::refused_setting(
+            "handover-wait-ms", s.find("handover-wait-ms"),
+            "a whole number from " + std::to_string(least) +
+                ", twice view-ttl-ms");
+    if (!seeds_of(s.text("seeds")))
+        return daemon::refused_setting("seeds", s.find("seeds"),
+                                       "id,data-centre,ip:port;...");
+    return {};
+}
+
 fleet::agent_options agent_options_of(const daemon::settings& s,
                                       std::uint64_t incarnation)
 {
@@ -241,7 +260,7 @@
     out.incarnation = incarnation;
     out.platform_address = s.text("platform-address");
     out.peer_address = s.text("peer-address");
-    out.seeds = seeds_of(s.text("seeds"));
+    out.seeds = *seeds_of(s.text("seeds"));
     out.ownership.view_ttl = base::milliseconds(s.number("view-ttl-ms"));
     out.ownership.handover_wait =
         base::milliseconds(s.number("handover-wait-ms"));
--- a/unittests/daemon/bad_input_test.cpp
+++ b/unittests/daemon/bad_input_test.cpp
@@ -64,7 +64,7 @@
 TEST_GROUP(bad_input){static fleet_plan plan_at(int offset){fleet_plan plan;
 plan.port = test_port(offset);
 plan.vms = 2;
-plan.vm_flags = {"--handover-wait-ms", "300", "--max-body-bytes", "16384"};
+plan.vm_flags = {"--handover-wait-ms", "3000", "--max-body-bytes", "16384"};
 return plan;
 }
 
--- a/unittests/daemon/drain_test.cpp
+++ b/unittests/daemon/drain_test.cpp
@@ -106,7 +106,7 @@
     fleet_plan plan;
     plan.port = test_port(1300);
     plan.service_ms = 30;
-    plan.vm_flags = {"--handover-wait-ms", "500", "--drain-grace-ms", "500"};
+    plan.vm_flags = {"--handover-wait-ms", "3000", "--drain-grace-ms", "500"};
     process_fleet fleet(plan);
     CHECK(fleet.serving());
     callers load(fleet, 4);
--- a/unittests/daemon/process_fleet.hpp
+++ b/unittests/daemon/process_fleet.hpp
@@ -65,6 +65,15 @@
 
     void signal(int number) const { ::kill(pid_, number); }
 
+    /// Whether it ended by itself, and was not waited for.
+    bool ended() const
+    {
+        siginfo_t info{};
+        return ::waitid(P_PID, static_cast<id_t>(pid_), &info,
+                        WEXITED | WNOHANG | WNOWAIT) == 0 &&
+               info.si_pid == pid_;
+    }
+
     /// Waits for the end and gives the exit code, or -1 after a signal.
     int wait()
     {
@@ -100,7 +109,10 @@
     int upstreams = 2; ///< for each data centre, with two servers each
     int shards = 8;
     int service_ms = 2;
-    std::vector<std::string> vm_flags = {"--handover-wait-ms", "500"};
+    std::vector<std::string> vm_flags = {"--handover-wait-ms", "3000"};
+    /// The list of VMs names addresses of a relay, and the VMs of the last data
+    /// centre reach the platform by it; see links_to_relay().
+    bool relayed = false;
 };
 
 class process_fleet
@@ -129,6 +141,17 @@
     std::string platform() const { return address(0); }
     std::string vm_http(int n) const { return address(10 + n); }
     std::string vm_peer(int n) const { return address(30 + n); }
+    /// Where the other VMs reach this one.
+    std::string listed_peer(int n) const
+    {
+        return plan_.relayed ? address(70 + n) : vm_peer(n);
+    }
+    /// Where this VM reaches the platform.
+    std::string platform_of(int vm) const
+    {
+        const bool last = vm >= vm_count() - plan_.vms;
+        return plan_.relayed && last ? address(69) : platform();
+    }
     std::string server(int n) const { return address(50 + n); }
     std::string vm_name(int n) const
     {
@@ -138,6 +161,7 @@
     process& vm_process(int n) { return *vms_.at(n); }
     process& server_process(int n) { return *servers_.at(n); }
     void stop_vm(int n) { vms_.erase(n); }
+    void stop_platform() { platform_.reset(); }
     void stop_server(int n) { servers_.erase(n); }
 
     void start_platform()
@@ -145,7 +169,7 @@
         std::string vms;
         for (int n = 0; n < vm_count(); ++n)
             vms += vm_name(n) + "," + data_centre(n / plan_.vms) + "," +
-                   vm_peer(n) + ";";
+                   listed_peer(n) + ";";
         platform_ = std::make_unique<process>(
             "standin-platform",
             std::vector<std::string>{"--http-address", platform(), "--vms",
@@ -164,7 +188,7 @@
             log("server-" + std::to_string(n)));
     }
 
-    void start_vm(int n)
+    void start_vm(int n, const std::vector<std::string>& more = {})
     {
         std::vector<std::string> args = {"--vm",
                                          vm_name(n),
@@ -175,12 +199,13 @@
                                          "--peer-address",
                                          vm_peer(n),
                                          "--platform-address",
-                                         platform(),
+                                         platform_of(n),
                                          "--peer-secret",
                                          "test-secret",
                                          "--operator-token-sha256",
                                          base::sha256_hex("operator")};
         args.insert(args.end(), plan_.vm_flags.begin(), plan_.vm_flags.end());
+        args.insert(args.end(), more.begin(), more.end());
         vms_[n] = std::make_unique<process>("mimosad", args, log(vm_name(n)));
     }
 
@@ -209,6 +234,17 @@
                                      nullptr, false);
     }
 
+    nlohmann::json status(int vm) const
+    {
+        return nlohmann::json::parse(
+            call(vm_http(vm), "GET", "/v1/status").body, nullptr, false);
+    }
+
+    std::string page(int vm) const
+    {
+        return call(vm_http(vm), "GET", "/").body;
+    }
+
     /// Writes a resource by the operators' API of a VM on top of `version`.
     wire::http_reply put(int vm, const nlohmann::json& resource,
                          std::uint64_t version) const
--- a/unittests/daemon/settings_test.cpp
+++ b/unittests/daemon/settings_test.cpp
@@ -17,8 +17,27 @@
     std::string line;
 };
 
+// The settings that mimosad cannot do without, and some more.
+std::vector<std::string> daemon_with(std::vector<std::string> more)
+{
+    more.insert(more.end(),
+                {"--vm", "a", "--data-centre", "b", "--platform-address",
+                 "127.0.0.1:1", "--peer-secret", "c", "--operator-token-sha256",
+                 "d"});
+    return more;
+}
+
 const std::vector<wrong_setting> wrong_settings = {
     {"mimosad", {"--vm", "a"}, "setting data-centre: is missing"},
+    {"mimosad", daemon_with({"--handover-wait-ms", "2999"}),
+     "setting handover-wait-ms: found \"2999\" (flag), allowed is a whole "
+     "number from 3000, twice view-ttl-ms"},
+    {"mimosad", daemon_with({"--view-ttl-ms", "2000"}),
+     "setting handover-wait-ms: found \"3500\" (default), allowed is a whole "
+     "number from 4000, twice view-ttl-ms"},
+    {"mimosad", daemon_with({"--seeds", "a,b,c"}),
+     "setting seeds: found \"a,b,c\" (flag), allowed is "
+     "id,data-centre,ip:port"},
     {"standin-platform",
      {"--http-address", "nowhere"},
      "setting http-address: found \"nowhere\" (flag), allowed is ip:port"},
@@ -39,6 +58,8 @@
     {
         const std::string log = MIMOSA_BINARY_DIR "/test-settings.log";
         tests::process it(wrong.program, wrong.args, log);
+        CHECK_TEXT(tests::eventually([&] { return it.ended(); }),
+                   wrong.line.c_str());
         LONGS_EQUAL(2, it.wait());
         std::ifstream in(log);
         std::string line;
