Show work on servers, suspected VMs and an older store in the status

Cause: the page, the JSON and `mimosactl status` showed neither the leaf's statistics nor suspected VMs, and a platform store that came back older was in the log only.

--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -17,12 +17,21 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
 namespace mimosacroft::daemon
 {
 
+/// The platform answered with an older version than before, and went on so.
+struct older_store
+{
+    std::uint64_t version = 0;  ///< of the store as it came back
+    std::uint64_t in_force = 0; ///< of this VM at that time
+    base::instant seen;
+};
+
 class runtime
 {
 public:
@@ -81,6 +90,15 @@
     const recent_answers& recent() const { return recent_; }
     /// When the configuration that is in force came; never if none has.
     base::instant config_changed() const { return config_changed_; }
+    base::instant started() const { return started_; }
+    /// When the server at an address replied last; never if it has not, or long
+    /// ago.
+    base::instant server_heard(const std::string& address) const;
+    /// The platform's store came back older than what is in force.
+    const std::optional<older_store>& platform_older() const
+    {
+        return platform_older_;
+    }
 
     daemon::metrics& metrics() { return metrics_; }
     const daemon::trace_store& traces() const { return traces_; }
@@ -96,6 +114,8 @@
     void carry_out(const core::log_event& it);
     void deliver_answers();
     void note_status();
+    void note_server(const std::string& address);
+    void note_older_store(const core::log_event& it);
     void fail_search(std::uint64_t ticket, std::exception_ptr why);
     void report_failure(const std::string& what);
     void arm_timer();
@@ -108,6 +128,9 @@
     recent_answers recent_;
     std::uint64_t config_version_ = 0; ///< as of config_changed_
     base::instant config_changed_ = base::never;
+    const base::instant started_ = std::chrono::steady_clock::now();
+    std::map<std::string, base::instant> servers_heard_; ///< by address
+    std::optional<older_store> platform_older_;
     node::node node_;
     net::http_client http_;
     net::peer_transport peers_;
--- a/include/mimosacroft/fleet/member_table.hpp
+++ b/include/mimosacroft/fleet/member_table.hpp
@@ -52,6 +52,8 @@
     std::vector<std::string> doubted() const;
     /// Neither the VM itself nor anybody else has heard of it for a while.
     bool is_suspected(const std::string& vm, base::instant now) const;
+    /// Since when a VM does not answer; never if it does.
+    base::instant doubted_since(const std::string& vm) const;
 
     const peer_knowledge* find(const std::string& vm) const;
     const std::map<std::string, peer_knowledge>& all() const { return rows_; }
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -4,6 +4,8 @@
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
 
+#include <algorithm>
+#include <cstdlib>
 #include <optional>
 
 namespace mimosacroft::daemon
@@ -35,6 +37,9 @@
     return std::nullopt;
 }
 
+/// Servers that did not reply for longer are forgotten.
+constexpr base::seconds server_memory{3600};
+
 /// The longest wait for a peer that does not read what it was sent.
 constexpr base::milliseconds flush_limit{2000};
 
@@ -120,9 +125,12 @@
 void runtime::carry_out(core::http_call& it)
 {
     const call_key key(it.owner, it.id);
-    const auto on_reply = [this, key](base::result<wire::http_reply> reply)
+    const auto on_reply =
+        [this, key, address = it.address](base::result<wire::http_reply> reply)
     {
         calls_.erase(key);
+        if (reply && key.first == core::call_owner::leaf)
+            note_server(address);
         step([&](base::instant t, core::effects& out)
              { node_.on_http_reply(key.first, key.second, reply, t, out); });
     };
@@ -146,9 +154,34 @@
 {
     metrics_.add("mimosa_events_total{event=\"" +
                  std::string(core::describe(it.id).name) + "\"}");
+    if (it.id == core::event_id::platform_older)
+        note_older_store(it);
     write(it);
 }
 
+void runtime::note_older_store(const core::log_event& it)
+{
+    const auto version = std::ranges::find(
+        it.fields, "version", &decltype(it.fields)::value_type::first);
+    platform_older_ = {std::strtoull(version->second.c_str(), nullptr, 10),
+                       node_.fleet().store().through(), now()};
+}
+
+void runtime::note_server(const std::string& address)
+{
+    const bool known = servers_heard_.contains(address);
+    servers_heard_[address] = now();
+    if (!known)
+        std::erase_if(servers_heard_, [](const auto& it)
+                      { return now() - it.second > server_memory; });
+}
+
+base::instant runtime::server_heard(const std::string& address) const
+{
+    const auto it = servers_heard_.find(address);
+    return it == servers_heard_.end() ? base::never : it->second;
+}
+
 void runtime::deliver_answers()
 {
     for (auto& answer : node_.take_answers())
@@ -177,6 +210,9 @@
         config_changed_ = now();
         metrics_.set("mimosa_config_version", static_cast<double>(version));
     }
+    // A change beyond what was in force shows that the store has caught up.
+    if (platform_older_ && version > platform_older_->in_force)
+        platform_older_.reset();
     metrics_.set("mimosa_platform_ok", node_.fleet().platform_ok() ? 1 : 0);
     metrics_.set("mimosa_open_requests",
                  static_cast<double>(node_.root().open()));
--- a/lib/daemon/status_page.cpp
+++ b/lib/daemon/status_page.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/daemon/status_page.hpp"
 
 #include <algorithm>
+#include <map>
 #include <sstream>
 
 namespace mimosacroft::daemon
@@ -33,9 +34,25 @@
     return std::to_string(base::to_ms(it)) + " ms";
 }
 
+std::string count(std::size_t n, const std::string& one,
+                  const std::string& more)
+{
+    return std::to_string(n) + " " + (n == 1 ? one : more);
+}
+
 std::string count(std::size_t n, const std::string& noun)
 {
-    return std::to_string(n) + " " + noun + (n == 1 ? "" : "s");
+    return count(n, noun, noun + "s");
+}
+
+// When each server of the catalogue replied last.
+std::map<std::string, base::instant> servers_heard(const runtime& rt)
+{
+    std::map<std::string, base::instant> out;
+    for (const auto& [name, upstream] : rt.node().fleet().catalog().upstreams())
+        for (const auto& it : upstream.servers)
+            out[it.name] = rt.server_heard(it.address);
+    return out;
 }
 
 std::string platform_sentence(const fleet::agent& it)
@@ -50,6 +67,15 @@
            "; this VM goes on with the configuration that it has.";
 }
 
+std::string older_store_sentence(const older_store& it)
+{
+    return "The platform's store came back older " + age(it.seen) +
+           ": it was at version " + std::to_string(it.version) + ". Version " +
+           std::to_string(it.in_force) +
+           " stays in force, and what the platform holds in older versions is "
+           "not taken.";
+}
+
 std::string configuration_sentence(const runtime& rt)
 {
     const auto version = rt.node().fleet().store().through();
@@ -112,6 +138,72 @@
             out << "The entry VM " << vm.vm << " is leaving.\n";
 }
 
+// The work of this VM on servers.
+void write_leaf(std::ostream& out, const runtime& rt)
+{
+    const auto it = rt.node().leaf().stats(now());
+    out << "Since it started " << age(rt.started()) << " it has sent "
+        << count(it.first_attempts, "subquery", "subqueries") << " to servers, "
+        << it.hedges
+        << " of them a second time because the first server was slow and "
+        << it.retries << " again after a failure; " << it.refusals
+        << " were refused early for overload and "
+        << count(it.bad_answers, "answer") << " did not fit.\n"
+        << count(it.waiting, "subquery", "subqueries")
+        << " wait for a server right now.\n";
+    const auto heard = servers_heard(rt);
+    for (const auto& server : it.servers)
+    {
+        if (!server.ejected && server.held == 0)
+            continue;
+        out << "The server " << server.server
+            << (server.ejected ? " fails and gets no work for a while"
+                               : " still has calls that were given up")
+            << " (" << count(server.in_flight, "call")
+            << " on their way right now); it last replied "
+            << age(heard.at(server.server)) << ".\n";
+    }
+}
+
+nlohmann::json leaf_json(const runtime& rt)
+{
+    const auto it = rt.node().leaf().stats(now());
+    const auto heard = servers_heard(rt);
+    auto servers = nlohmann::json::array();
+    for (const auto& server : it.servers)
+    {
+        auto& row = servers.emplace_back(
+            nlohmann::json{{"server", server.server},
+                           {"in_flight", server.in_flight},
+                           {"given_up", server.held},
+                           {"ejected", server.ejected},
+                           {"mean_ms", server.latency_ms},
+                           {"high_ms", server.high_latency_ms}});
+        const auto at = heard.at(server.server);
+        if (at != base::never)
+            row["heard_ms"] = base::to_ms(now() - at);
+    }
+    return {{"since_ms", base::to_ms(now() - rt.started())},
+            {"first_attempts", it.first_attempts},
+            {"hedges", it.hedges},
+            {"retries", it.retries},
+            {"refusals", it.refusals},
+            {"cancels", it.cancels},
+            {"bad_answers", it.bad_answers},
+            {"waiting", it.waiting},
+            {"servers", std::move(servers)}};
+}
+
+void write_suspected(std::ostream& out, const fleet::agent& it)
+{
+    for (const auto& vm : it.view().entries())
+        if (it.is_suspected(vm.vm, now()))
+            out << "The entry VM " << vm.vm
+                << " is suspected to be down: it has not answered for "
+                << seconds(now() - it.members().doubted_since(vm.vm))
+                << ", and no other VM has heard of it since.\n";
+}
+
 void write_peers(std::ostream& out, const fleet::agent& it)
 {
     out << "It knows " << count(it.view().entries().size(), "entry VM")
@@ -170,10 +262,14 @@
         << "It is working on " << count(node.root().open(), "request")
         << " of callers right now.\n";
     write_answers(out, rt.recent().summary(now()));
+    write_leaf(out, rt);
     write_leaving(out, fleet);
     out << configuration_sentence(rt) << "\n"
         << platform_sentence(fleet) << "\n";
+    if (rt.platform_older())
+        out << older_store_sentence(*rt.platform_older()) << "\n";
     write_peers(out, fleet);
+    write_suspected(out, fleet);
     for (const auto& [key, it] : fleet.store().refusals())
         out << "The " << key.first << " " << key.second << " in version "
             << it.version << " is not valid (" << it.reason
@@ -191,7 +287,11 @@
         nlohmann::json row = {{"vm", it.vm},
                               {"data_centre", it.data_centre},
                               {"leaving", it.leaving},
-                              {"draining", fleet.is_draining(it.vm)}};
+                              {"draining", fleet.is_draining(it.vm)},
+                              {"suspected", fleet.is_suspected(it.vm, now())}};
+        const auto doubted = fleet.members().doubted_since(it.vm);
+        if (doubted != base::never)
+            row["unanswered_ms"] = base::to_ms(now() - doubted);
         const auto peer = fleet.peers().find(it.vm);
         if (it.vm == fleet.options().vm)
             row["config_version"] = fleet.store().through();
@@ -217,10 +317,16 @@
                           {"open_requests", node.root().open()},
                           {"open_forwards", node.leaf().open()},
                           {"draining", node.draining()},
+                          {"leaf", leaf_json(rt)},
                           {"refused", std::move(refused)},
                           {"vms", std::move(vms)}};
     if (fleet.store().through() > 0)
         out["config_age_ms"] = base::to_ms(now() - rt.config_changed());
+    if (rt.platform_older())
+        out["platform_older"] = {
+            {"version", rt.platform_older()->version},
+            {"in_force", rt.platform_older()->in_force},
+            {"age_ms", base::to_ms(now() - rt.platform_older()->seen)}};
     if (fleet.platform_heard() != base::never)
         out["platform_heard_ms"] = base::to_ms(now() - fleet.platform_heard());
     return out;
--- a/lib/fleet/member_table.cpp
+++ b/lib/fleet/member_table.cpp
@@ -96,6 +96,12 @@
     return it != doubts_.end() && now - it->second >= suspect_wait;
 }
 
+base::instant member_table::doubted_since(const std::string& vm) const
+{
+    const auto it = doubts_.find(vm);
+    return it == doubts_.end() ? base::never : it->second;
+}
+
 const peer_knowledge* member_table::find(const std::string& vm) const
 {
     const auto it = rows_.find(vm);
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -5,6 +5,7 @@
 #include "mimosacroft/net/http_server.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -347,6 +348,15 @@
     return write_on(to, path, wanted, it.version.value_or(current->version));
 }
 
+std::string older_store_line(const json& it)
+{
+    return "the platform's store came back older (version " +
+           std::to_string(it.value("version", std::uint64_t{0})) +
+           "); version " +
+           std::to_string(it.value("in_force", std::uint64_t{0})) +
+           " stays in force and what it holds in older versions is not taken";
+}
+
 // Waits until every VM that the server knows has the version in force.
 int wait_in_force(const client& to, std::uint64_t version,
                   base::milliseconds most)
@@ -361,6 +371,11 @@
         lagging.clear();
         std::size_t n = 0;
         const auto in = json::parse(reply->body);
+        if (in.contains("platform_older") &&
+            version <= in["platform_older"].value("in_force", version))
+            return complain("version " + std::to_string(version) +
+                            " is written and not in force: " +
+                            older_store_line(in["platform_older"]));
         for (const auto& it : in["vms"])
         {
             ++n;
@@ -450,6 +465,47 @@
            " s";
 }
 
+std::string heard_of(const json& it)
+{
+    return it.contains("heard_ms")
+               ? seconds_of(it["heard_ms"].get<std::int64_t>()) + " ago"
+               : "-";
+}
+
+// What is noteworthy of a VM in the status.
+std::string note_on(const json& vm, std::uint64_t version)
+{
+    if (vm.value("leaving", false) || vm.value("draining", false))
+        return "leaving";
+    if (vm.value("suspected", false))
+        return "suspected, no answer for " +
+               seconds_of(vm.value("unanswered_ms", std::int64_t{0}));
+    return vm.value("config_version", std::uint64_t{0}) < version ? "lags" : "";
+}
+
+// The work on servers of the VM that was asked.
+void print_leaf(const json& leaf)
+{
+    const auto n = [&leaf](const char* name)
+    { return std::to_string(leaf.value(name, std::uint64_t{0})); };
+    std::cout << "its work on servers, since it started "
+              << seconds_of(leaf.value("since_ms", std::int64_t{0}))
+              << " ago: " << n("first_attempts") << " subqueries, "
+              << n("hedges") << " hedges, " << n("retries") << " retries, "
+              << n("refusals") << " refused for overload, " << n("bad_answers")
+              << " answers that did not fit; " << n("waiting") << " wait now\n";
+    std::vector<std::vector<std::string>> rows = {
+        {"SERVER", "IN FLIGHT", "MEAN MS", "HIGH MS", "HEARD", "NOTE"}};
+    for (const auto& it : leaf["servers"])
+        rows.push_back(
+            {it.value("server", ""), std::to_string(it.value("in_flight", 0)),
+             std::to_string(std::lround(it.value("mean_ms", 0.0))),
+             std::to_string(std::lround(it.value("high_ms", 0.0))),
+             heard_of(it), it.value("ejected", false) ? "ejected" : ""});
+    if (rows.size() > 1)
+        print_table(rows);
+}
+
 int status(const client& to, const daemon::settings& s)
 {
     const auto in = body_of(to.call("GET", "/v1/status"));
@@ -466,23 +522,21 @@
                   << seconds_of((*in)["platform_heard_ms"].get<std::int64_t>())
                   << " ago";
     std::cout << "\n";
+    if (in->contains("platform_older"))
+        std::cout << older_store_line((*in)["platform_older"]) << "\n";
     std::vector<std::vector<std::string>> rows = {
         {"VM", "DATA CENTRE", "VERSION", "HEARD", "NOTE"}};
     for (const auto& it : (*in)["vms"])
     {
         const bool known = it.contains("config_version");
         const auto has = it.value("config_version", std::uint64_t{0});
-        rows.push_back(
-            {it.value("vm", ""), it.value("data_centre", ""),
-             known ? std::to_string(has) : "unknown",
-             it.contains("heard_ms")
-                 ? seconds_of(it["heard_ms"].get<std::int64_t>()) + " ago"
-                 : "-",
-             it.value("leaving", false) ? "leaving"
-             : has < version            ? "lags"
-                                        : ""});
+        rows.push_back({it.value("vm", ""), it.value("data_centre", ""),
+                        known ? std::to_string(has) : "unknown", heard_of(it),
+                        note_on(it, version)});
     }
     print_table(rows);
+    if (in->contains("leaf"))
+        print_leaf((*in)["leaf"]);
     for (const auto& it : (*in)["refused"])
         std::cout << "not valid, not in force: " << it.value("kind", "") << " "
                   << it.value("name", "") << " version "
--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -227,3 +227,60 @@
     STRCMP_CONTAINS("spec.index: found 7, allowed is", bad.text.c_str());
     LONGS_EQUAL(2, ctl(fleet, 0, {"aply"}).code);
 }
+
+TEST(operators, status_shows_the_work_on_servers_and_suspected_vms)
+{
+    process_fleet fleet(plan_at(1000));
+    CHECK(fleet.serving());
+    fleet.vm_process(2).signal(SIGSTOP);
+    const auto page_has = [&](const std::string& text)
+    { return fleet.page(0).find(text) != std::string::npos; };
+    CHECK(eventually(
+        [&]
+        {
+            return page_has("The entry VM oostende-2 is suspected to be down: "
+                            "it has not answered for ");
+        }));
+    const auto seen = fleet.status(0);
+    for (const auto& it : seen["vms"])
+    {
+        CHECK(it["suspected"] == (it["vm"] == "oostende-2"));
+        CHECK(it.contains("unanswered_ms") == it["suspected"]);
+    }
+    const auto table = ctl(fleet, 0, {"status"}).text;
+    STRCMP_CONTAINS("suspected, no answer for ", table.c_str());
+    STRCMP_CONTAINS("its work on servers, since it started ", table.c_str());
+    fleet.vm_process(2).signal(SIGCONT);
+    CHECK(eventually([&] { return !page_has("is suspected"); }));
+    const auto& leaf = seen["leaf"];
+    CHECK(leaf["first_attempts"].get<int>() > 0);
+    CHECK(leaf.contains("since_ms"));
+    CHECK(!leaf["servers"].empty());
+    for (const auto& it : leaf["servers"])
+        CHECK(it.contains("heard_ms") == (it["mean_ms"].get<double>() > 0));
+    CHECK(page_has(" subqueries to servers, "));
+    fleet.stop_server(0);
+    CHECK(eventually(
+        [&]
+        {
+            (void)fleet.search(0, "lookup", {{"query", 1}});
+            return page_has("The server server-0 fails and gets no work for a "
+                            "while");
+        }));
+}
+
+TEST(operators, an_apply_to_a_store_that_came_back_older_is_not_in_force)
+{
+    process_fleet fleet(plan_at(1060));
+    CHECK(fleet.serving());
+    fleet.stop_platform();
+    fleet.start_platform();
+    CHECK(
+        eventually([&] { return fleet.status(0).contains("platform_older"); }));
+    const auto it =
+        ctl(fleet, 0,
+            {"apply", "--wait", "--file", write_search(fleet, "older", 450)});
+    LONGS_EQUAL(1, it.code);
+    STRCMP_CONTAINS("is written and not in force", it.text.c_str());
+    STRCMP_CONTAINS("came back older", ctl(fleet, 0, {"status"}).text.c_str());
+}
