--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -83,6 +83,15 @@
         return members_.all();
     }
 
+    /// Where a VM is reached, also one that is in no list; empty if not known.
+    std::string address_of(const std::string& vm) const
+    {
+        if (const auto* entry = view_.find(vm))
+            return entry->peer_address;
+        const auto stranger = strangers_.find(vm);
+        return stranger == strangers_.end() ? std::string() : stranger->second;
+    }
+
     /// Whether forwards should go to another VM if there is one.
     bool is_suspected(const std::string& vm, base::instant now) const
     {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -206,10 +206,10 @@
 
 void node::send(const std::string& vm, wire::message msg, core::effects& out)
 {
-    const auto* entry = fleet_.view().find(vm);
-    if (entry)
-        out.emplace_back(
-            core::send_peer{vm, entry->peer_address, std::move(msg)});
+    // A VM that started while the platform is away is in no list yet.
+    const auto address = fleet_.address_of(vm);
+    if (!address.empty())
+        out.emplace_back(core::send_peer{vm, address, std::move(msg)});
 }
 
 // Passes results on between the parts until nothing moves any more.
