Show the wait in the leaf's queue as a span

Cause: a trace showed the calls to servers but not the wait before them, so that a request held up by busy slots looked like time lost on the way. Change: the leaf adds one span "queue" to a forward's answer, the longest wait of its shards before their first attempt (queue_us, as reported to the root); none if nothing waited. explain prints no arrow for a span without a peer. Ruled out: a span for each shard, which would grow the answers with the shards. A shard that was never sent still has no span; its reason says so. Test leaf.a_wait_in_the_queue_is_a_span_of_the_trace failed first (one span).

--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -220,6 +220,7 @@
     void refuse(const std::string& server, std::string reason,
                 core::effects& out);
     void add_spans(const open_call& call, base::instant now);
+    void add_queue_span(open_forward& forward) const;
 
     // Reporting.
     void report_lacking(const task_key& key, model::lack_reason reason);
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -687,6 +687,21 @@
     }
 }
 
+// The longest wait of the forward's shards for their first attempt.
+void leaf::add_queue_span(open_forward& forward) const
+{
+    const auto longest = std::ranges::max_element(
+        forward.reports, {}, &wire::shard_report::queue_us);
+    if (longest == forward.reports.end() || longest->queue_us == 0)
+        return;
+    wire::span wait;
+    wait.id = forward.spans.size() + 1;
+    wait.name = "queue";
+    wait.vm = fleet_.options().vm;
+    wait.length_us = longest->queue_us;
+    forward.spans.push_back(std::move(wait));
+}
+
 // ---- Reporting
 
 void leaf::report_lacking(const task_key& key, model::lack_reason reason)
@@ -719,6 +734,7 @@
         return;
     auto& forward = it->second;
     due_.erase({forward.deadline, key});
+    add_queue_span(forward);
     answers_.push_back(
         {key.from,
          {key.query, key.attempt, forward.request.epoch,
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -536,10 +536,13 @@
         std::cout << "  lacking " << it.value("shard", "") << ": "
                   << it.value("reason", "") << "\n";
     for (const auto& it : in["spans"])
+    {
+        const auto peer = it.value("peer", "");
         std::cout << "  " << it.value("name", "") << " " << it.value("vm", "")
-                  << " -> " << it.value("peer", "") << " at "
+                  << (peer.empty() ? "" : " -> " + peer) << " at "
                   << it.value("start_us", 0) << " us for "
                   << it.value("length_us", 0) << " us\n";
+    }
     return EXIT_SUCCESS;
 }
 
--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -391,3 +391,30 @@
         rig.forward(n, 1, 300, false);
     LONGS_EQUAL(4, rig.work().size());
 }
+
+TEST(leaf, a_wait_in_the_queue_is_a_span_of_the_trace)
+{
+    leaf_rig one({}, 1);
+    one.forward(1, 1);
+    one.forward(2, 1);
+    one.forward(3, 2);
+    LONGS_EQUAL(2, one.work().size());
+    one.now += milliseconds(5);
+    one.reply_ok(one.work().at(0));
+    LONGS_EQUAL(1, one.leaf.take_answers().at(0).msg.spans.size());
+    one.now += milliseconds(2);
+    one.reply_ok(one.work().at(1));
+    const auto all = one.leaf.take_answers();
+    LONGS_EQUAL(1, all.size());
+    const auto& spans = all[0].msg.spans;
+    LONGS_EQUAL(2, spans.size());
+    STRCMP_EQUAL("upstream", spans[0].name.c_str());
+    LONGS_EQUAL(5000, spans[0].start_us);
+    const auto& wait = spans[1];
+    STRCMP_EQUAL("queue", wait.name.c_str());
+    STRCMP_EQUAL("vm-0", wait.vm.c_str());
+    LONGS_EQUAL(0, wait.parent);
+    LONGS_EQUAL(0, wait.start_us);
+    LONGS_EQUAL(5000, wait.length_us);
+    CHECK(wait.id != spans[0].id);
+}
