Let a call take only a part of the forwards that wait

An owner has one slot on each of the two servers; slow calls hold both, and what piles up then goes out in one call of 14 to 48 subqueries, which is itself slow with 1 in 100 subqueries slow.

Change: forwards share a call only up to a quarter of what waits, at least 8. One forward is not cut below 64, as it waits for all of its shards anyway. With 256 or more waiting a call is as full as before.

Test: leaf.a_call_takes_a_part_of_the_forwards_that_wait failed before.

--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -100,6 +100,8 @@
             return std::tie(a.from, a.query, a.attempt) <
                    std::tie(b.from, b.query, b.attempt);
         }
+        friend bool operator==(const forward_key& a,
+                               const forward_key& b) = default;
     };
 
     struct task_key
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -12,6 +12,11 @@
 
 constexpr std::size_t max_batch = 64;
 
+/// A call with several forwards takes one in this many subqueries of what
+/// waits, and at least so many.
+constexpr std::size_t batch_part = 4;
+constexpr std::size_t min_batch = 8;
+
 /// How often waiting subqueries are looked at when no reply frees a slot.
 constexpr base::milliseconds wait_check{20};
 
@@ -44,6 +49,13 @@
            std::to_string(position);
 }
 
+// How much of what waits goes out in one call. A call is as slow as its slowest
+// subquery, and each forward in it has to wait for that one.
+std::size_t batch_size(std::size_t waiting)
+{
+    return std::clamp(waiting / batch_part, min_batch, max_batch);
+}
+
 model::priority priority_of(const wire::forward& request)
 {
     return base::value_at<model::priority>(request.priority)
@@ -285,10 +297,13 @@
 {
     const auto alone = [this](const task_key& key)
     { return !forwards_.at(key.forward).request.repeatable; };
+    const auto wanted = batch_size(from.waiting.size());
     std::vector<task_key> batch;
     while (!from.waiting.empty() && batch.size() < max_batch)
     {
         const auto& next = from.waiting.front().second;
+        if (batch.size() >= wanted && next.forward != batch.back().forward)
+            break;
         if (!batch.empty() &&
             (alone(next) || find(next)->asked.contains(server.name)))
             break;
--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -357,6 +357,25 @@
     CHECK(stats.hedges <= 10 + 1);
 }
 
+TEST(leaf, a_call_takes_a_part_of_the_forwards_that_wait)
+{
+    const auto size_after = [](std::uint32_t forwards, std::size_t shards)
+    {
+        leaf_rig it;
+        for (std::uint32_t n = 1; n <= 4; ++n)
+            it.forward(n, 1, 300, false); // fills the slots
+        for (std::uint32_t n = 5; n < 5 + forwards; ++n)
+            it.forward(n, shards);
+        it.reply_ok(it.work().at(0));
+        return it.subqueries(it.work().back()).size();
+    };
+    LONGS_EQUAL(5, size_after(1, 5));
+    LONGS_EQUAL(10, size_after(4, 5));  // the last forward is not cut
+    LONGS_EQUAL(20, size_after(16, 5)); // a quarter
+    LONGS_EQUAL(64, size_after(400, 5));
+    LONGS_EQUAL(64, size_after(2, 100));
+}
+
 TEST(leaf, a_whole_batch_that_failed_at_once_goes_elsewhere)
 {
     rig.warm_up();
