--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -178,6 +178,8 @@
         metrics_.set("mimosa_config_version", static_cast<double>(version));
     }
     metrics_.set("mimosa_platform_ok", node_.fleet().platform_ok() ? 1 : 0);
+    metrics_.set("mimosa_platform_calls_held_back",
+                 static_cast<double>(node_.fleet().platform().held_back()));
     metrics_.set("mimosa_open_requests",
                  static_cast<double>(node_.root().open()));
 }
