--- a/bench/query_bench.cpp
+++ b/bench/query_bench.cpp
@@ -107,7 +107,8 @@
             if (call->request.path == "/v1/vms")
                 it.on_http_reply(
                     call->owner, call->id,
-                    wire::http_reply{200, {}, R"({"version":1,"unchanged":true})"},
+                    wire::http_reply{
+                        200, {}, R"({"version":1,"unchanged":true})"},
                     start, out);
 }
 
