--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -218,6 +218,8 @@
     metrics_.set("mimosa_platform_ok", node_.fleet().platform_ok() ? 1 : 0);
     metrics_.set("mimosa_claims_removed_total",
                  static_cast<double>(node_.claim_sweeper().removed()));
+    metrics_.set("mimosa_platform_calls_held_back",
+                 static_cast<double>(node_.fleet().platform().held_back()));
     metrics_.set("mimosa_open_requests",
                  static_cast<double>(node_.root().open()));
 }
