Wait for the version that is there when an apply changes nothing

Change: it waits for the version that the platform holds.

Before: operators.an_unchanged_apply_waits_for_the_version_that_is_there failed ("version 0 is in force").

--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -329,10 +329,17 @@
     return apply_error(base::error_code::invalid, path, error_text(*reply));
 }
 
+/// What an apply of one resource ended with.
+struct applied_resource
+{
+    std::uint64_t version = 0; ///< that the platform holds now
+    bool changed = false;      ///< something was written
+};
+
 // Writes one resource on top of the version that its file names, or else of the
-// one that is read just before. Gives the new version, or 0 when nothing had to
-// change.
-base::result<std::uint64_t> apply_one(const client& to, const file_resource& it)
+// one that is read just before.
+base::result<applied_resource> apply_one(const client& to,
+                                         const file_resource& it)
 {
     const auto path =
         path_of(std::string(base::name_of(it.declared.kind)), it.declared.name);
@@ -344,8 +351,12 @@
                                current.error().text);
     const auto wanted = json::parse(model::to_json(it.declared.value));
     if (current->version != 0 && current->value == wanted)
-        return 0;
-    return write_on(to, path, wanted, it.version.value_or(current->version));
+        return applied_resource{current->version, false};
+    const auto version =
+        write_on(to, path, wanted, it.version.value_or(current->version));
+    if (!version)
+        return tl::unexpected<base::error>(version.error());
+    return applied_resource{*version, true};
 }
 
 std::string older_store_line(const json& it)
@@ -410,15 +421,15 @@
     std::uint64_t latest = 0;
     for (const auto& it : all)
     {
-        const auto version = apply_one(to, it);
-        if (!version)
-            return complain(base::to_string(version.error()));
+        const auto done = apply_one(to, it);
+        if (!done)
+            return complain(base::to_string(done.error()));
         std::cout << base::name_of(it.declared.kind) << " " << it.declared.name
-                  << (*version == 0
-                          ? std::string(" unchanged")
-                          : " applied, version " + std::to_string(*version))
+                  << (done->changed
+                          ? " applied, version " + std::to_string(done->version)
+                          : std::string(" unchanged"))
                   << "\n";
-        latest = std::max(latest, *version);
+        latest = std::max(latest, done->version);
     }
     if (!s.flag("wait"))
         return EXIT_SUCCESS;
--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -284,3 +284,19 @@
     STRCMP_CONTAINS("is written and not in force", it.text.c_str());
     STRCMP_CONTAINS("came back older", ctl(fleet, 0, {"status"}).text.c_str());
 }
+
+TEST(operators, an_unchanged_apply_waits_for_the_version_that_is_there)
+{
+    const process_fleet fleet(plan_at(1140));
+    CHECK(fleet.serving());
+    const auto version = get(fleet)["version"].get<std::uint64_t>();
+    const auto it =
+        ctl(fleet, 0,
+            {"apply", "--wait", "--file", write_search(fleet, "same", 1000)});
+    LONGS_EQUAL(0, it.code);
+    STRCMP_CONTAINS("search lookup unchanged", it.text.c_str());
+    STRCMP_CONTAINS(
+        ("version " + std::to_string(version) + " is in force on 3 of 3 VMs")
+            .c_str(),
+        it.text.c_str());
+}
