Restart the VMs in the test of old claims before they should see them

Change: the VMs are started anew, so that the list with old claims is their first. Every check stays.

--- a/unittests/daemon/at_most_once_test.cpp
+++ b/unittests/daemon/at_most_once_test.cpp
@@ -209,7 +209,7 @@
 {
     auto plan = plan_at(604);
     plan.vm_flags.insert(plan.vm_flags.end(), {"--claim-sweep-period-s", "1"});
-    const process_fleet fleet(plan);
+    process_fleet fleet(plan);
     await_serving(fleet);
     const auto young = booking(key_of_age(base::seconds(60), "young"), 1);
     STRCMP_EQUAL("answered",
@@ -223,6 +223,10 @@
                             "/v1/objects/dated-claim/" +
                                 key_of_age(old, std::to_string(n)),
                             "{}", {{"if-match", "0"}});
+    // A VM that has seen a list without old claims rests for an hour.
+    for (int vm = 0; vm < fleet.vm_count(); ++vm)
+        fleet.restart_vm(vm);
+    await_serving(fleet);
     for (int vm = 0; vm < fleet.vm_count(); ++vm)
         CHECK(
             eventually([&] { return has_event(fleet, vm, "clock_differs"); }));
--- a/unittests/daemon/process_fleet.hpp
+++ b/unittests/daemon/process_fleet.hpp
@@ -209,6 +209,14 @@
         vms_[n] = std::make_unique<process>("mimosad", args, log(vm_name(n)));
     }
 
+    /// Kills a VM and starts it again; returns once it serves HTTP.
+    void restart_vm(int n)
+    {
+        stop_vm(n);
+        start_vm(n);
+        up(vm_http(n), "/ready");
+    }
+
     /// One exchange; throws when there is no reply.
     static wire::http_reply call(const std::string& address,
                                  const std::string& method,
