Send no forward to a suspected or silent VM if another can take it

Cause: a paused leaf kept its share of far forwards, suspected or not: the scatter looked only at links that had failed. Change: route() passes over suspected VMs, and for a second over one that let a deadline pass without a word (its own deadline was earlier, so it would have said what it lacks). When all are suspect, one is asked all the same. Ruled out: a longer time than a second (a VM that was slow once would stay without work); dropping suspected VMs wholly (a false suspicion of all would leave no VM to ask).

--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -13,7 +13,8 @@
 /// Kept back from the receiver's time, for its answer's way home.
 constexpr base::milliseconds hop_margin{5};
 
-/// A VM whose link failed gets no forward for this long if another can take it.
+/// A VM whose link failed, or which let a deadline pass in silence, gets no
+/// forward for this long if another can take it.
 constexpr base::milliseconds avoid_time{1000};
 
 wire::shard_report lacking(std::uint32_t shard, model::lack_reason reason,
@@ -114,7 +115,8 @@
     const auto avoided = [&](const std::string& vm)
     {
         const auto found = avoided_.find(vm);
-        return found != avoided_.end() && found->second > now;
+        return fleet_.is_suspected(vm, now) ||
+               (found != avoided_.end() && found->second > now);
     };
     if (!std::ranges::all_of(targets, avoided))
         std::erase_if(targets, avoided);
@@ -396,8 +398,13 @@
 {
     auto& job = jobs_.at(id);
     for (const auto attempt : job.attempts)
-        for (const auto n : forwards_.at(attempt).tasks)
+    {
+        const auto& open = forwards_.at(attempt);
+        // Its own deadline was earlier: it would have said what it lacks.
+        avoided_[open.vm] = now + avoid_time;
+        for (const auto n : open.tasks)
             job.tasks[n].maybe_run = true;
+    }
     for (std::size_t n = 0; n < job.tasks.size(); ++n)
         report(job, n,
                lacking(job.tasks[n].task.shard, model::lack_reason::timeout,
--- a/unittests/query/scatter_test.cpp
+++ b/unittests/query/scatter_test.cpp
@@ -41,6 +41,31 @@
             msg.shards.push_back({n, true, 0, true, 0, "{}"});
         return msg;
     }
+
+    void know_two_far_vms()
+    {
+        know(agent, 2,
+             {{"vm-0", "oostende"},
+              {"far", "antwerpen"},
+              {"far-2", "antwerpen"}});
+    }
+
+    // How many of 20 queries go to a VM.
+    std::size_t sent_to(const std::string& vm, base::instant now)
+    {
+        core::effects sent;
+        auto job = job_of(true);
+        job.deadline = now + milliseconds(100);
+        for (int n = 0; n < 20; ++n)
+            scatter.start(job, now, sent);
+        return static_cast<std::size_t>(std::ranges::count_if(
+            sent,
+            [&vm](const core::effect& it)
+            {
+                const auto* to = std::get_if<core::send_peer>(&it);
+                return to && to->vm == vm;
+            }));
+    }
 };
 
 TEST(scatter, a_far_data_centre_gets_one_message)
@@ -166,14 +191,48 @@
 
 TEST(scatter, avoids_a_vm_whose_link_failed_a_moment_ago)
 {
-    know(agent, 2,
-         {{"vm-0", "oostende"}, {"far", "antwerpen"}, {"far-2", "antwerpen"}});
+    know_two_far_vms();
     scatter.on_peer_lost("far", false, test_start, out);
-    for (int n = 0; n < 20; ++n)
-        scatter.start(job_of(true), test_start, out);
-    for (const auto& it : out)
-        if (const auto* sent = std::get_if<core::send_peer>(&it))
-            STRCMP_EQUAL("far-2", sent->vm.c_str());
+    LONGS_EQUAL(0, sent_to("far", test_start));
+    LONGS_EQUAL(20, sent_to("far-2", test_start));
+}
+
+TEST(scatter, avoids_a_vm_that_let_a_deadline_pass_in_silence)
+{
+    know_two_far_vms();
+    scatter.start(job_of(true), test_start, out);
+    const auto silent = first_of<core::send_peer>(out)->vm;
+    const auto late = test_start + milliseconds(100);
+    scatter.on_tick(late, out);
+    LONGS_EQUAL(0, sent_to(silent, late));
+    // It is asked again after a while.
+    CHECK(sent_to(silent, late + base::seconds(2)) > 0);
+}
+
+TEST(scatter, avoids_a_suspected_vm_unless_all_are)
+{
+    know_two_far_vms();
+    auto now = test_start;
+    for (std::uint64_t n = 1; n <= 100; ++n)
+    {
+        now += milliseconds(200);
+        agent.on_tick(now, out);
+        wire::digest word;
+        word.ack = true;
+        word.heartbeat = n;
+        word.sequence = n;
+        if (n <= 60)
+            agent.on_digest("far-2", 1, word, now, out);
+        if (n == 60)
+        {
+            CHECK(agent.is_suspected("far", now));
+            LONGS_EQUAL(0, sent_to("far", now));
+            LONGS_EQUAL(20, sent_to("far-2", now));
+        }
+    }
+    CHECK(agent.is_suspected("far-2", now));
+    CHECK(sent_to("far", now) > 0);
+    CHECK(sent_to("far-2", now) > 0);
 }
 
 TEST(scatter, spans_of_an_answer_get_ids_of_their_own_below_their_forward)
