Move the operators' client out of mimosactl into a part of its own

Change: lib/operate has operator_client (calls, writes on top of a version, read-back) and resource_file; the tool keeps commands and tables (about 420 lines).

--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -1,21 +1,17 @@
 // mimosactl: the operators' command.
+#include "mimosacroft/base/time.hpp"
 #include "mimosacroft/daemon/settings.hpp"
-#include "mimosacroft/model/schema.hpp"
-#include "mimosacroft/net/blocking_http.hpp"
-#include "mimosacroft/net/http_server.hpp"
+#include "mimosacroft/operate/operator_client.hpp"
+#include "mimosacroft/operate/resource_file.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
-#include <cstdio>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <functional>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <sstream>
 #include <thread>
 
 namespace
@@ -23,11 +19,15 @@
 
 using namespace mimosacroft;
 using daemon::setting_kind;
+using operate::apply_one;
+using operate::error_text;
+using operate::file_resource;
+using operate::path_of;
+using operate::write_on;
+using client = operate::operator_client;
 using nlohmann::json;
 
-constexpr base::milliseconds call_timeout{5000};
 constexpr base::milliseconds poll_period{200};
-constexpr base::milliseconds read_back_limit{3000};
 
 const daemon::program this_program = {
     "mimosactl",
@@ -61,36 +61,6 @@
     "apply --file F | get KIND NAME | list [KIND] | watch | delete KIND NAME "
     "| status | explain TRACE"};
 
-class client
-{
-public:
-    explicit client(const daemon::settings& s)
-        : server_(s.text("server")), token_(s.text("operator-token"))
-    {
-    }
-
-    base::result<wire::http_reply> call(const std::string& method,
-                                        const std::string& path,
-                                        const std::string& body = {},
-                                        const std::string& version = {}) const
-    {
-        wire::http_request out;
-        out.method = method;
-        out.path = path.substr(0, path.find('?'));
-        if (out.path.size() < path.size())
-            out.query = path.substr(out.path.size() + 1);
-        out.body = body;
-        out.headers["authorization"] = "Bearer " + token_;
-        if (!version.empty())
-            out.headers["if-match"] = version;
-        return net::exchange(server_, out, call_timeout);
-    }
-
-private:
-    std::string server_;
-    std::string token_;
-};
-
 int complain(const std::string& text)
 {
     std::cerr << "mimosactl: " << text << "\n";
@@ -103,19 +73,6 @@
     return daemon::exit_usage;
 }
 
-std::string error_text(const wire::http_reply& reply)
-{
-    const auto in = json::parse(reply.body, nullptr, false);
-    if (in.is_object() && in.contains("error"))
-        return in["error"].get<std::string>();
-    return "status " + std::to_string(reply.status);
-}
-
-std::string path_of(const std::string& kind, const std::string& name)
-{
-    return "/v1/resources/" + kind + "/" + name;
-}
-
 // The JSON of a reply with status 200; complains about any other.
 std::optional<json> body_of(const base::result<wire::http_reply>& reply)
 {
@@ -166,201 +123,6 @@
     return out;
 }
 
-// The files of a folder in order of name, or the file itself.
-std::vector<std::string> files_of(const std::string& path)
-{
-    std::vector<std::string> out;
-    if (!std::filesystem::is_directory(path))
-        return {path};
-    for (const auto& it : std::filesystem::directory_iterator(path))
-        if (it.path().extension() == ".json")
-            out.push_back(it.path().string());
-    std::ranges::sort(out);
-    return out;
-}
-
-/// A resource of a file.
-struct file_resource
-{
-    model::declared declared;
-    /// The version that the file was made from, if it says one: the write is
-    /// refused when another one is current.
-    std::optional<std::uint64_t> version;
-};
-
-// Takes the field "version" out of a resource.
-base::result<std::optional<std::uint64_t>> take_version(json& value)
-{
-    if (!value.is_object() || !value.contains("version"))
-        return std::nullopt;
-    const auto it = value["version"];
-    if (!it.is_number_unsigned())
-        return base::fail(base::error_code::invalid, base::step::parse, "",
-                          "field version: found " + it.dump() +
-                              ", allowed is a whole number from 0");
-    value.erase("version");
-    return it.get<std::uint64_t>();
-}
-
-// The resources of a file: one object or a list of objects.
-base::result<std::vector<file_resource>> read_file(const std::string& path)
-{
-    const auto refuse = [&path](const std::string& why)
-    {
-        return base::fail(base::error_code::invalid, base::step::parse, path,
-                          why);
-    };
-    std::ifstream in(path);
-    if (!in)
-        return refuse("file cannot be read");
-    std::stringstream text;
-    text << in.rdbuf();
-    auto value = json::parse(text.str(), nullptr, false);
-    if (value.is_discarded())
-        return refuse("file is not valid JSON");
-    if (!value.is_array())
-        value = json::array({value});
-    std::vector<file_resource> out;
-    for (auto& it : value)
-    {
-        const auto version = take_version(it);
-        if (!version)
-            return refuse(version.error().text);
-        auto parsed = model::parse_resource(it.dump());
-        if (!parsed)
-            return refuse(parsed.error().text);
-        out.push_back({std::move(*parsed), *version});
-    }
-    return out;
-}
-
-/// What the platform holds of a resource.
-struct current_state
-{
-    std::uint64_t version = 0; ///< 0 if it does not exist
-    json value;
-};
-
-tl::unexpected<base::error>
-apply_error(base::error_code code, const std::string& path, std::string why)
-{
-    return base::fail(code, base::step::apply, path, std::move(why));
-}
-
-base::result<current_state> read_current(const client& to,
-                                         const std::string& path)
-{
-    const auto reply = to.call("GET", path);
-    if (!reply)
-        return tl::unexpected<base::error>(reply.error());
-    if (reply->status == 404)
-        return current_state{};
-    const auto in = json::parse(reply->body, nullptr, false);
-    if (reply->status != 200 || !in.is_object())
-        return apply_error(base::error_code::unavailable, path,
-                           error_text(*reply));
-    return current_state{in.value("version", std::uint64_t{0}),
-                         in.value("value", json())};
-}
-
-std::string describe(const current_state& it)
-{
-    if (it.version == 0)
-        return "it is now deleted";
-    return "it is now version " + std::to_string(it.version) + ": " +
-           it.value.dump();
-}
-
-// Finds out what became of a write whose answer did not come. `wanted` is null
-// for a delete. Gives the version that holds what was wanted.
-base::result<std::uint64_t> read_back(const client& to, const std::string& path,
-                                      const json& wanted, std::uint64_t base,
-                                      const std::string& why)
-{
-    const auto due = std::chrono::steady_clock::now() + read_back_limit;
-    auto current = read_current(to, path);
-    while (!current && std::chrono::steady_clock::now() < due)
-    {
-        std::this_thread::sleep_for(poll_period);
-        current = read_current(to, path);
-    }
-    if (!current)
-        return apply_error(base::error_code::broken, path,
-                           "it is not known whether the change was made, read "
-                           "it back later; " +
-                               why);
-    if (current->value == wanted && current->version != base)
-        return current->version;
-    if (current->version == base)
-        return apply_error(base::error_code::broken, path,
-                           "the change was not made up to now; " + why);
-    return apply_error(base::error_code::conflict, path,
-                       "it is not known whether the change was made before "
-                       "another one; " +
-                           describe(*current) + "; " + why);
-}
-
-// Writes on top of a version, or deletes if `wanted` is null, and reads back
-// when the answer is lost. Nothing of another version is overwritten.
-base::result<std::uint64_t> write_on(const client& to, const std::string& path,
-                                     const json& wanted, std::uint64_t base)
-{
-    const bool remove = wanted.is_null();
-    const auto reply =
-        to.call(remove ? "DELETE" : "PUT", path, remove ? "" : wanted.dump(),
-                std::to_string(base));
-    if (!reply && reply.error().code == base::error_code::unreachable)
-        return tl::unexpected<base::error>(reply.error());
-    if (!reply)
-        return read_back(to, path, wanted, base,
-                         base::to_string(reply.error()));
-    const auto in = json::parse(reply->body, nullptr, false);
-    if (reply->status == 200)
-        return in.value("version", std::uint64_t{0});
-    if (reply->status == 409)
-    {
-        const auto now = read_current(to, path);
-        return apply_error(
-            base::error_code::conflict, path,
-            "version " + std::to_string(base) +
-                " is not current any more, nothing was overwritten; " +
-                (now ? describe(*now) : "the current one cannot be read"));
-    }
-    if (reply->status >= 500 && in.value("written", "unknown") != "no")
-        return read_back(to, path, wanted, base, error_text(*reply));
-    return apply_error(base::error_code::invalid, path, error_text(*reply));
-}
-
-/// What an apply of one resource ended with.
-struct applied_resource
-{
-    std::uint64_t version = 0; ///< that the platform holds now
-    bool changed = false;      ///< something was written
-};
-
-// Writes one resource on top of the version that its file names, or else of the
-// one that is read just before.
-base::result<applied_resource> apply_one(const client& to,
-                                         const file_resource& it)
-{
-    const auto path =
-        path_of(std::string(base::name_of(it.declared.kind)), it.declared.name);
-    const auto current = read_current(to, path);
-    if (!current)
-        return apply_error(current.error().code, path,
-                           "nothing was written, the current version cannot be "
-                           "read; " +
-                               current.error().text);
-    const auto wanted = json::parse(model::to_json(it.declared.value));
-    if (current->version != 0 && current->value == wanted)
-        return applied_resource{current->version, false};
-    const auto version =
-        write_on(to, path, wanted, it.version.value_or(current->version));
-    if (!version)
-        return tl::unexpected<base::error>(version.error());
-    return applied_resource{*version, true};
-}
-
 std::string older_store_line(const json& it)
 {
     return "the platform's store came back older (version " +
@@ -413,9 +175,9 @@
     if (s.text("file").empty())
         return usage("apply needs --file");
     std::vector<file_resource> all;
-    for (const auto& path : files_of(s.text("file")))
+    for (const auto& path : operate::files_of(s.text("file")))
     {
-        auto some = read_file(path);
+        auto some = operate::read_file(path);
         // Nothing is written unless every file is right.
         if (!some)
             return complain(base::to_string(some.error()));
@@ -442,7 +204,7 @@
 int remove(const client& to, const std::string& kind, const std::string& name)
 {
     const auto path = path_of(kind, name);
-    const auto current = read_current(to, path);
+    const auto current = operate::read_current(to, path);
     if (!current)
         return complain(base::to_string(current.error()));
     if (current->version == 0)
@@ -616,7 +378,7 @@
 
 int run(const daemon::settings& s)
 {
-    const client to(s);
+    const client to(s.text("server"), s.text("operator-token"));
     const auto& args = s.positional();
     const auto is = [&args](const char* verb, std::size_t n)
     { return !args.empty() && args[0] == verb && args.size() == n + 1; };
