Ask the owners that stayed while a new one waits for its handover

Cause: after a VM has gone, each of its upstreams gets a new owner, which may not work on it for the handover (3.5 s); the scatter drew between it and the owner that stayed, so half of these forwards lay until the deadline. Change: ownership notes who owned an upstream before its owners changed; the scatter prefers these until view_ttl and handover are over. When none is left, all wait alike and one is drawn as before. Tests: scatter.asks_the_owner_that_stayed_while_a_new_one_waits failed first (16 of 20 forwards to the right owner); ownership.owners_that_stay_are_ established_while_a_new_one_waits guards the times. They lack one upstream, records-09, whose owner antwerpen-1 stayed and yet has no share for 3.5 s after the list changed (its log: list at 37.477, first call at 41.034); why its share is lost is not traced.

--- a/include/mimosacroft/fleet/ownership.hpp
+++ b/include/mimosacroft/fleet/ownership.hpp
@@ -63,6 +63,12 @@
     const std::vector<std::string>&
     owners_of(const std::string& upstream) const;
 
+    /// The owners that need not wait for a handover: those that owned the
+    /// upstream before its owners changed. All of them if none did, or once
+    /// the handover must be over.
+    const std::vector<std::string>&
+    established_owners_of(const std::string& upstream, base::instant now) const;
+
     /// Whether this VM is an owner, usable or not.
     bool owns(const std::string& upstream) const;
 
@@ -81,11 +87,19 @@
         std::string data_centre;
         std::uint32_t slots = 0;
         std::vector<std::string> vms;
+        std::vector<std::string> established; ///< some of vms, or all
+        base::instant changed;                ///< when vms changed last
     };
 
     std::string self_;
     ownership_options options_;
-    void update_owners(const view& current, const model::catalog& catalog);
+    void update_owners(const view& current, const model::catalog& catalog,
+                       base::instant now);
+    std::vector<std::string>
+    established_among(const std::vector<std::string>& vms,
+                      const owner_list& before, base::instant now) const;
+    const std::vector<std::string>& established_at(const owner_list& it,
+                                                   base::instant now) const;
     owned changed(const owned& before, const share& part,
                   base::instant now) const;
     share at(const owned& it, base::instant now) const;
--- a/lib/fleet/ownership.cpp
+++ b/lib/fleet/ownership.cpp
@@ -15,7 +15,7 @@
 void ownership::update(const view& current, const model::catalog& catalog,
                        base::instant now)
 {
-    update_owners(current, catalog);
+    update_owners(current, catalog, now);
     std::map<std::string, owned> next;
     for (const auto& [name, upstream] : catalog.upstreams())
     {
@@ -35,7 +35,7 @@
 // Owners are worked out again only where they may have changed: weighing every
 // VM for every upstream costs far more than the change of one of them.
 void ownership::update_owners(const view& current,
-                              const model::catalog& catalog)
+                              const model::catalog& catalog, base::instant now)
 {
     std::map<std::string, std::vector<std::string>> members;
     std::set<std::string> changed;
@@ -57,14 +57,43 @@
             before != owners_.end() && before->second.data_centre == at &&
             before->second.slots == upstream.slots && !changed.contains(at);
         if (same)
+        {
             next[name] = std::move(before->second);
-        else
-            next[name] = {at, upstream.slots, current.owners_of(upstream)};
+            continue;
+        }
+        const auto vms = current.owners_of(upstream);
+        auto& made = next[name] = {at, upstream.slots, vms, vms, now};
+        if (before == owners_.end())
+            continue;
+        made.established = established_among(vms, before->second, now);
+        if (before->second.vms == vms)
+            made.changed = before->second.changed;
     }
     owners_ = std::move(next);
     members_ = std::move(members);
 }
 
+// The VMs among new owners that could work for the upstream before. When none
+// could, all wait alike.
+std::vector<std::string>
+ownership::established_among(const std::vector<std::string>& vms,
+                             const owner_list& before, base::instant now) const
+{
+    std::vector<std::string> out;
+    for (const auto& vm : established_at(before, now))
+        if (std::ranges::find(vms, vm) != vms.end())
+            out.push_back(vm);
+    return out.empty() ? vms : out;
+}
+
+// A new owner waits for the view to settle, then for the handover.
+const std::vector<std::string>&
+ownership::established_at(const owner_list& it, base::instant now) const
+{
+    const auto longest = options_.view_ttl + options_.handover_wait;
+    return now - it.changed < longest ? it.established : it.vms;
+}
+
 // A share that shrinks in one limit holds the smaller one at once.
 ownership::owned ownership::changed(const owned& before, const share& part,
                                     base::instant now) const
@@ -109,6 +138,15 @@
     return it == owners_.end() ? nobody : it->second.vms;
 }
 
+const std::vector<std::string>&
+ownership::established_owners_of(const std::string& upstream,
+                                 base::instant now) const
+{
+    static const std::vector<std::string> nobody;
+    const auto it = owners_.find(upstream);
+    return it == owners_.end() ? nobody : established_at(it->second, now);
+}
+
 share ownership::at(const owned& it, base::instant now) const
 {
     const bool handed_over =
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 
 namespace mimosacroft::query
 {
@@ -34,6 +35,14 @@
            it.lack == static_cast<std::uint8_t>(model::lack_reason::refused);
 }
 
+// Leaves only the VMs for which `good` holds, unless it holds for none.
+template <typename Good>
+void prefer(std::vector<std::string>& vms, const Good& good)
+{
+    if (std::ranges::any_of(vms, good))
+        std::erase_if(vms, std::not_fn(good));
+}
+
 std::uint32_t budget_ms(base::instant deadline, base::instant now)
 {
     const auto left = base::to_ms(deadline - now - hop_margin);
@@ -110,16 +119,23 @@
                   { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
         return {};
+    if (!is_far(it))
+        prefer(targets,
+               [&established = fleet_.ownership().established_owners_of(
+                    upstream->name, now)](const std::string& vm)
+               {
+                   return std::ranges::find(established, vm) !=
+                          established.end();
+               });
     if (std::ranges::find(targets, own.vm) != targets.end())
         return own.vm;
-    const auto avoided = [&](const std::string& vm)
-    {
-        const auto found = avoided_.find(vm);
-        return fleet_.is_suspected(vm, now) ||
-               (found != avoided_.end() && found->second > now);
-    };
-    if (!std::ranges::all_of(targets, avoided))
-        std::erase_if(targets, avoided);
+    prefer(targets,
+           [&](const std::string& vm)
+           {
+               const auto found = avoided_.find(vm);
+               return !fleet_.is_suspected(vm, now) &&
+                      (found == avoided_.end() || found->second <= now);
+           });
     return targets[random_() % targets.size()];
 }
 
--- a/unittests/fleet/ownership_test.cpp
+++ b/unittests/fleet/ownership_test.cpp
@@ -111,3 +111,31 @@
             }
         }));
 }
+
+TEST(ownership, owners_that_stay_are_established_while_a_new_one_waits)
+{
+    const auto catalog = catalog_of();
+    fleet::ownership it("none", {});
+    const auto established = [&it](base::instant now)
+    { return it.established_owners_of("u", now); };
+    it.update(view_of(1, {"vm-0", "vm-1", "vm-2"}), catalog, test_start);
+    const auto before = it.owners_of("u");
+    LONGS_EQUAL(2, before.size());
+    CHECK(established(test_start) == before);
+
+    std::vector<std::string> left = {"vm-0", "vm-1", "vm-2"};
+    std::erase(left, before[0]);
+    const auto later = test_start + base::seconds(60);
+    it.update(view_of(2, left), catalog, later);
+    LONGS_EQUAL(2, it.owners_of("u").size());
+    const std::vector<std::string> stayed = {before[1]};
+    CHECK(established(later) == stayed);
+    // A view that changes no owner changes nothing of that.
+    it.update(view_of(3, left), catalog, later + base::seconds(1));
+    CHECK(established(later + base::seconds(4)) == stayed);
+    CHECK(established(later + base::seconds(6)) == it.owners_of("u"));
+
+    // None of the former owners is left: all wait alike.
+    it.update(view_of(4, {"vm-8", "vm-9"}), catalog, later + base::seconds(60));
+    CHECK(established(later + base::seconds(60)) == it.owners_of("u"));
+}
--- a/unittests/query/scatter_test.cpp
+++ b/unittests/query/scatter_test.cpp
@@ -209,6 +209,20 @@
     CHECK(sent_to(silent, late + base::seconds(2)) > 0);
 }
 
+TEST(scatter, asks_the_owner_that_stayed_while_a_new_one_waits)
+{
+    declare(agent, 2, {upstream_of("u", "oostende")});
+    know(agent, 2, {{"a", "oostende"}, {"b", "oostende"}, {"c", "oostende"}});
+    const auto owners = agent.ownership().owners_of("u");
+    std::vector<std::pair<std::string, std::string>> left;
+    for (const std::string vm : {"a", "b", "c"})
+        if (vm != owners[0])
+            left.emplace_back(vm, "oostende");
+    know(agent, 3, left);
+    LONGS_EQUAL(2, agent.ownership().owners_of("u").size());
+    LONGS_EQUAL(20, sent_to(owners[1], test_start));
+}
+
 TEST(scatter, avoids_a_suspected_vm_unless_all_are)
 {
     know_two_far_vms();
