--- a/unittests/daemon/bad_input_test.cpp
+++ b/unittests/daemon/bad_input_test.cpp
@@ -59,24 +59,26 @@
     return reply.starts_with("HTTP/1.1 " + status);
 }
 
-} // namespace
-
-TEST_GROUP(bad_input){static fleet_plan plan_at(int offset){fleet_plan plan;
-plan.port = test_port(offset);
-plan.vms = 2;
-plan.vm_flags = {"--handover-wait-ms", "3000", "--max-body-bytes", "16384"};
-return plan;
+fleet_plan plan_at(int offset)
+{
+    fleet_plan plan;
+    plan.port = test_port(offset);
+    plan.vms = 2;
+    plan.vm_flags = {"--handover-wait-ms", "3000", "--max-body-bytes", "16384"};
+    return plan;
 }
 
-static void check_serves(const process_fleet& fleet)
+void check_serves(const process_fleet& fleet)
 {
     for (int n = 0; n < fleet.vm_count(); ++n)
         STRCMP_EQUAL("answered", fleet.search(n, "lookup", {{"query", "still"}})
                                      .value("outcome", "")
                                      .c_str());
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(bad_input){};
 
 TEST(bad_input, the_parser_names_the_field)
 {
