Choose the relay of a far data centre once for a query, not for each shard

Found on reading the change again: dispatch() weighed all VMs of the far data centre for each shard and then used the relay of the first one. query_bench had one far VM, so that docs/CAPACITY.md did not see it. Change: the relay that a data centre has already is looked up first. The two places that named the reason of a lost task share one function.

--- a/bench/query_bench.cpp
+++ b/bench/query_bench.cpp
@@ -88,14 +88,16 @@
     return std::make_unique<node::node>(options, 1);
 }
 
-// Lets a node know its configuration and the VMs: one in the far data centre,
-// `members` in its own.
+// Lets a node know its configuration and the VMs: `members` in its own data
+// centre, `far_members` in the other one.
 void prepare(node::node& it, const wire::config_push& config,
-             std::size_t members = 1)
+             std::size_t members = 1, std::size_t far_members = 1)
 {
     core::effects out;
-    std::vector<wire::view_entry> vms = {
-        {far + "-1", far, "10.0.0.2:9", false}};
+    std::vector<wire::view_entry> vms;
+    for (std::size_t n = 1; n <= far_members; ++n)
+        vms.push_back(
+            {far + "-" + std::to_string(n), far, "10.0.0.2:9", false});
     for (std::size_t n = 1; n <= members; ++n)
         vms.push_back(
             {near + "-" + std::to_string(n), near, "10.0.0.1:9", false});
@@ -122,13 +124,20 @@
     return out;
 }
 
-const wire::forward* forward_in(const core::effects& all)
+/// A forward with the VM that it goes to.
+struct sent_forward
+{
+    std::string vm;
+    const wire::forward* msg = nullptr; ///< null if there is none
+};
+
+sent_forward forward_in(const core::effects& all)
 {
     for (const auto& e : all)
         if (const auto* sent = std::get_if<core::send_peer>(&e))
             if (const auto* it = std::get_if<wire::forward>(&sent->msg))
-                return it;
-    return nullptr;
+                return {sent->vm, it};
+    return {};
 }
 
 wire::forward_answer answer_to(const wire::forward& asked)
@@ -161,7 +170,7 @@
     auto t = bench::cpu_us();
     root.on_search(request_of(n), start, effects);
     out.decide_us = bench::cpu_us() - t;
-    const auto* asked = forward_in(effects);
+    const auto [vm, asked] = forward_in(effects);
     if (!asked)
         return out;
     const auto answer = wire::pack(answer_to(*asked));
@@ -172,7 +181,7 @@
     out.forward_bytes = static_cast<double>(forward.size());
     out.answer_bytes = static_cast<double>(answer.size());
     t = bench::cpu_us();
-    root.on_message(far + "-1", 7, std::move(*back), start, effects);
+    root.on_message(vm, 7, std::move(*back), start, effects);
     out.decide_us += bench::cpu_us() - t;
     if (root.take_answers().size() != 1)
         std::cerr << "query " << n << " has no answer\n";
@@ -220,6 +229,23 @@
     }
 }
 
+void root_by_far_members(bench::slopes& out)
+{
+    constexpr std::size_t shards = 1800;
+    for (const std::size_t members : {1, 10, 30, 97, 290})
+    {
+        const auto root = make_node();
+        prepare(*root, push_of(shards / shards_of_upstream, shards, far), 1,
+                members);
+        std::uint64_t n = 0;
+        out.add(
+            "root_us_of_1800_shards_by_far_members",
+            static_cast<double>(members),
+            bench::median_of(rounds, [&]
+                             { return cost_of_query(*root, ++n).decide_us; }));
+    }
+}
+
 wire::forward forward_of(std::size_t subqueries, std::size_t upstreams,
                          std::uint32_t attempt)
 {
@@ -557,6 +583,7 @@
     bench::slopes out;
     root_by_shards(out);
     root_by_servers(out);
+    root_by_far_members(out);
     leaf_by_subqueries(out);
     leaf_by_small_forwards(out);
     relay_by_members(out);
--- a/include/mimosacroft/query/scatter.hpp
+++ b/include/mimosacroft/query/scatter.hpp
@@ -95,7 +95,13 @@
         std::uint64_t span = 0;
     };
 
-    bool is_far(const open_task& it) const;
+    /// The relay of each far data centre, within one dispatch.
+    using relay_map = std::map<std::string, std::string>;
+
+    const std::string* far_data_centre(const open_task& it) const;
+    model::lack_reason loss_of(const open_task& it) const;
+    std::string relay_of(const open_task& it, const relay_map& relays) const;
+    std::string target_of(open_task& it, relay_map& relays, base::instant now);
     std::string route(const open_task& it, base::instant now);
     std::string reroute(open_task& it, base::instant now);
     void dispatch(std::uint64_t id, const std::vector<std::size_t>& positions,
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -100,10 +100,13 @@
     return id;
 }
 
-bool scatter::is_far(const open_task& it) const
+// The data centre of a task's upstream if it is another one; null otherwise.
+const std::string* scatter::far_data_centre(const open_task& it) const
 {
     const auto* upstream = fleet_.catalog().find_upstream(it.task.upstream);
-    return upstream && upstream->data_centre != fleet_.options().data_centre;
+    if (!upstream || upstream->data_centre == fleet_.options().data_centre)
+        return nullptr;
+    return &upstream->data_centre;
 }
 
 // The VM to send a task to; empty if there is none.
@@ -113,13 +116,14 @@
     if (!upstream)
         return {};
     const auto& own = fleet_.options();
-    auto targets = is_far(it) ? fleet_.view().members_of(upstream->data_centre)
-                              : fleet_.ownership().owners_of(upstream->name);
+    const bool far = upstream->data_centre != own.data_centre;
+    auto targets = far ? fleet_.view().members_of(upstream->data_centre)
+                       : fleet_.ownership().owners_of(upstream->name);
     std::erase_if(targets, [&](const std::string& vm)
                   { return it.tried.contains(vm) || fleet_.is_draining(vm); });
     if (targets.empty())
         return {};
-    if (!is_far(it))
+    if (!far)
         prefer(targets,
                [&established = fleet_.ownership().established_owners_of(
                     upstream->name, now)](const std::string& vm)
@@ -152,15 +156,50 @@
     return vm;
 }
 
+// Why a task lacks whose VMs were all tried or lost.
+model::lack_reason scatter::loss_of(const open_task& it) const
+{
+    return far_data_centre(it) ? model::lack_reason::data_centre_lost
+                               : model::lack_reason::leaf_lost;
+}
+
+// The relay that a task's far data centre has already; empty if there is none
+// that the task may go to.
+std::string scatter::relay_of(const open_task& it,
+                              const relay_map& relays) const
+{
+    const auto* far = far_data_centre(it);
+    const auto found = far ? relays.find(*far) : relays.end();
+    if (found == relays.end() || it.tried.contains(found->second))
+        return {};
+    return found->second;
+}
+
+// One relay for each far data centre, so that the costly link carries one
+// message and the VMs there are weighed once; near tasks go to their owners.
+std::string scatter::target_of(open_task& it, relay_map& relays,
+                               base::instant now)
+{
+    if (auto relay = relay_of(it, relays); !relay.empty())
+        return relay;
+    auto vm = reroute(it, now);
+    const auto* far = far_data_centre(it);
+    if (vm.empty() || !far)
+        return vm;
+    // Another upstream of the shard may be in a data centre with a relay.
+    if (auto relay = relay_of(it, relays); !relay.empty())
+        return relay;
+    relays.try_emplace(*far, vm);
+    return vm;
+}
+
 void scatter::dispatch(std::uint64_t id,
                        const std::vector<std::size_t>& positions,
                        base::instant now, core::effects& out)
 {
     auto& job = jobs_.at(id);
     const bool late = budget_ms(job.job.deadline, now) == 0;
-    // One relay for each far data centre, so that the costly link carries one
-    // message; near ones go to their owners.
-    std::map<std::string, std::string> relays;
+    relay_map relays;
     std::map<std::string, std::vector<std::size_t>> by_vm;
     for (const auto n : positions)
     {
@@ -171,27 +210,14 @@
                    lacking(it.task.shard, model::lack_reason::timeout, false));
             continue;
         }
-        auto vm = reroute(it, now);
+        const auto vm = target_of(it, relays, now);
         if (vm.empty())
         {
-            const auto lost = is_far(it) ? model::lack_reason::data_centre_lost
-                                         : model::lack_reason::leaf_lost;
-            report(
-                job, n,
-                lacking(it.task.shard,
-                        it.tried.empty() ? model::lack_reason::no_server : lost,
-                        false));
+            const auto why =
+                it.tried.empty() ? model::lack_reason::no_server : loss_of(it);
+            report(job, n, lacking(it.task.shard, why, false));
             continue;
         }
-        if (is_far(it))
-        {
-            const auto* upstream =
-                fleet_.catalog().find_upstream(it.task.upstream);
-            auto& relay =
-                relays.try_emplace(upstream->data_centre, vm).first->second;
-            if (!it.tried.contains(relay))
-                vm = relay;
-        }
         by_vm[vm].push_back(n);
     }
     for (auto& [vm, tasks] : by_vm)
@@ -372,10 +398,7 @@
             again.push_back(n);
         else
             report(job, n,
-                   lacking(task.task.shard,
-                           is_far(task) ? model::lack_reason::data_centre_lost
-                                        : model::lack_reason::leaf_lost,
-                           task.maybe_run));
+                   lacking(task.task.shard, loss_of(task), task.maybe_run));
     }
     dispatch(gone.job, again, now, out);
     finish_if_complete(gone.job);
