--- a/include/mimosacroft/fleet/config_store.hpp
+++ b/include/mimosacroft/fleet/config_store.hpp
@@ -94,7 +94,8 @@
     using key = std::pair<std::string, std::string>; // kind, name
 
     apply_result apply_older(const key& at, const wire::config_entry& entry);
-    void put_in_force(const wire::config_entry& entry);
+    void put_in_force(const wire::config_entry& entry,
+                      const std::optional<model::resource>& made);
 
     std::map<key, wire::config_entry> entries_; ///< versions only grow
     /// The last valid version of each object in refusals_, if one is known.
--- a/lib/fleet/config_store.cpp
+++ b/lib/fleet/config_store.cpp
@@ -12,18 +12,21 @@
 namespace
 {
 
-// Why an object cannot be in force; nothing if it can.
-std::optional<std::string> problem_of(const wire::config_entry& entry)
+// The resource of an object, nothing for a tombstone, or why it cannot be in
+// force.
+base::result<std::optional<model::resource>>
+resource_of(const wire::config_entry& entry)
 {
     if (entry.deleted)
         return std::nullopt;
-    const auto parsed = model::parse_resource(entry.body);
+    auto parsed = model::parse_resource(entry.body);
     if (!parsed)
-        return parsed.error().text;
+        return tl::unexpected<base::error>(parsed.error());
     const auto kind = base::value_of<model::resource_kind>(entry.kind);
     if (!kind || parsed->kind != *kind || parsed->name != entry.name)
-        return "object stands under another kind or name";
-    return std::nullopt;
+        return base::fail(base::error_code::invalid, base::step::apply, "",
+                          "object stands under another kind or name");
+    return std::move(parsed->value);
 }
 
 std::size_t size_of(const wire::config_entry& entry)
@@ -70,22 +73,22 @@
     const auto it = entries_.find(at);
     if (it != entries_.end() && it->second.version >= entry.version)
         return apply_older(at, entry);
-    const auto problem = problem_of(entry);
-    if (problem)
+    const auto offered = resource_of(entry);
+    if (!offered)
     {
         if (it != entries_.end() && !refusals_.contains(at))
             last_good_[at] = it->second;
-        refusals_[at] = {entry.version, *problem};
+        refusals_[at] = {entry.version, offered.error().text};
     }
     else
     {
         refusals_.erase(at);
         last_good_.erase(at);
-        put_in_force(entry);
+        put_in_force(entry, *offered);
     }
     entries_[at] = entry;
     fingerprint_.reset();
-    return problem ? apply_result::refused : apply_result::applied;
+    return offered ? apply_result::applied : apply_result::refused;
 }
 
 // While the latest version of an object is invalid, an older valid one is
@@ -96,17 +99,21 @@
     const bool stands_in =
         refusals_.contains(at) && entry.version < entries_.at(at).version &&
         (!last_good_.contains(at) || last_good_.at(at).version < entry.version);
-    if (!stands_in || problem_of(entry))
+    if (!stands_in)
+        return apply_result::older;
+    const auto offered = resource_of(entry);
+    if (!offered)
         return apply_result::older;
     last_good_[at] = entry;
-    put_in_force(entry);
+    put_in_force(entry, *offered);
     return apply_result::applied;
 }
 
-void config_store::put_in_force(const wire::config_entry& entry)
+void config_store::put_in_force(const wire::config_entry& entry,
+                                const std::optional<model::resource>& made)
 {
-    if (!entry.deleted)
-        return catalog_.put(model::parse_resource(entry.body)->value);
+    if (made)
+        return catalog_.put(*made);
     if (const auto kind = base::value_of<model::resource_kind>(entry.kind))
         catalog_.remove(*kind, entry.name);
 }
