One piece for what stood twice: ages, microseconds, status codes, tokens

- base/time.hpp has the age in seconds (two copies), whole and fractional microseconds (four copies) and fractional milliseconds; claim_key reads its digits with base::to_number.
- wire/http.hpp names the status codes; five files had lists of their own and others wrote the numbers.
- platform_client takes a token in one place; peer_link reads its address with split_address, as the HTTP client does.
- claim_sweeper's list and delete each make their own request, where call() asked the queue which of the two it was; end_sweep() takes no unused time.
- leaf::on_http_reply is split into what became of a cancel, a probe and a call (75 lines before).

--- a/include/mimosacroft/fleet/platform_client.hpp
+++ b/include/mimosacroft/fleet/platform_client.hpp
@@ -52,8 +52,7 @@
     std::uint64_t held_back() const { return held_back_; }
 
 private:
-    void refill(base::instant now);
-    bool take_token(base::instant now);
+    bool take_token(double left, base::instant now);
 
     platform_options options_;
     std::mt19937_64 random_;
--- a/include/mimosacroft/query/claim_sweeper.hpp
+++ b/include/mimosacroft/query/claim_sweeper.hpp
@@ -69,7 +69,7 @@
 private:
     using reply_result = base::result<wire::http_reply>;
 
-    void call(std::string method, std::string path, base::instant now,
+    void call(wire::http_request request, base::instant now,
               core::effects& out);
     void list(base::instant now, core::effects& out);
     void remove_next(base::instant now, core::effects& out);
@@ -78,7 +78,7 @@
     void on_removed(const reply_result& reply, base::instant now);
     bool clocks_agree(std::int64_t platform_s, base::instant now,
                       core::effects& out) const;
-    void end_sweep(base::instant now, core::effects& out);
+    void end_sweep(core::effects& out);
     void rest(base::duration least, base::instant now);
 
     claim_sweeper_options options_;
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -203,6 +203,15 @@
     void probe_leaving(base::instant now, core::effects& out);
 
     // Receiving.
+    void on_canceled(std::uint64_t id,
+                     const base::result<wire::http_reply>& reply,
+                     base::instant now, core::effects& out);
+    void on_probed(std::uint64_t id,
+                   const base::result<wire::http_reply>& reply,
+                   base::instant now);
+    void take_outcome(const open_call& call,
+                      const base::result<wire::http_reply>& reply,
+                      base::instant now, core::effects& out);
     void take_failure(const open_call& call, const copy_end& how,
                       const std::string& why, base::instant now,
                       core::effects& out);
--- a/include/mimosacroft/wire/http.hpp
+++ b/include/mimosacroft/wire/http.hpp
@@ -11,6 +11,19 @@
 /// Header names are kept in lower case.
 using http_headers = std::map<std::string, std::string>;
 
+/// Status codes of HTTP.
+inline constexpr unsigned status_ok = 200;
+inline constexpr unsigned status_bad_request = 400;
+inline constexpr unsigned status_unauthorized = 401;
+inline constexpr unsigned status_forbidden = 403;
+inline constexpr unsigned status_not_found = 404;
+inline constexpr unsigned status_method_not_allowed = 405;
+inline constexpr unsigned status_conflict = 409;
+inline constexpr unsigned status_too_large = 413;
+inline constexpr unsigned status_internal_error = 500;
+inline constexpr unsigned status_unavailable = 503;
+inline constexpr unsigned status_gateway_timeout = 504;
+
 struct http_request
 {
     std::string method = "GET";
--- a/lib/daemon/caller_api.cpp
+++ b/lib/daemon/caller_api.cpp
@@ -14,14 +14,6 @@
 namespace
 {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_forbidden = 403;
-constexpr unsigned status_method_not_allowed = 405;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
-
 constexpr std::uint64_t max_deadline_ms = 60'000;
 constexpr std::size_t trace_id_bytes = 16;
 constexpr std::size_t trace_id_digits = 2 * trace_id_bytes;
@@ -119,19 +111,19 @@
     switch (answer.outcome)
     {
     case model::outcome::answered:
-        return status_ok;
+        return wire::status_ok;
     case model::outcome::partial:
         return query::coverage_of(answer) < answer.least_coverage
-                   ? status_unavailable
-                   : status_ok;
+                   ? wire::status_unavailable
+                   : wire::status_ok;
     case model::outcome::not_run:
-        return status_unavailable;
+        return wire::status_unavailable;
     case model::outcome::unknown:
-        return status_gateway_timeout;
+        return wire::status_gateway_timeout;
     case model::outcome::rejected:
         break;
     }
-    return status_bad_request;
+    return wire::status_bad_request;
 }
 
 std::string to_json(const query::search_answer& answer)
@@ -166,12 +158,12 @@
 wire::http_reply handle_search(runtime& rt, const wire::http_request& request)
 {
     if (request.method != "POST")
-        return refuse(rt, status_method_not_allowed,
+        return refuse(rt, wire::status_method_not_allowed,
                       "method " + request.method + ", allowed is POST");
     const auto name = request.path.substr(search_prefix.size());
     const auto token = bearer_token(request);
     if (token.empty())
-        return refuse(rt, status_unauthorized,
+        return refuse(rt, wire::status_unauthorized,
                       "header Authorization: found nothing, allowed is "
                       "Bearer and a token");
     const auto hash = base::sha256_hex(token);
@@ -182,14 +174,15 @@
             return it ? std::optional(*it) : std::nullopt;
         });
     if (!rule)
-        return refuse(rt, status_unauthorized, "no rule knows this token");
+        return refuse(rt, wire::status_unauthorized,
+                      "no rule knows this token");
     if (!model::allows(*rule, name))
-        return refuse(rt, status_forbidden,
+        return refuse(rt, wire::status_forbidden,
                       "rule " + rule->name + " does not allow the search " +
                           name);
     auto parsed = parse_search_request(request.body);
     if (!parsed)
-        return refuse(rt, status_bad_request, parsed.error().text);
+        return refuse(rt, wire::status_bad_request, parsed.error().text);
     parsed->search = name;
     parsed->priority = rule->priority;
     parsed->trace = trace_id(request);
--- a/lib/daemon/operator_api.cpp
+++ b/lib/daemon/operator_api.cpp
@@ -16,13 +16,6 @@
 namespace
 {
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_method_not_allowed = 405;
-constexpr unsigned status_internal_error = 500;
-constexpr unsigned status_unavailable = 503;
-
 constexpr base::milliseconds platform_timeout{2000};
 
 const std::string resources_path = "/v1/resources";
@@ -94,7 +87,7 @@
                                 const std::string& why)
 {
     auto out = json_reply({{"error", why}, {"written", written}});
-    out.status = status_unavailable;
+    out.status = wire::status_unavailable;
     return out;
 }
 
@@ -105,7 +98,7 @@
     const bool reads = request.method == "GET";
     const auto reply = rt.exchange(options.platform_address, std::move(request),
                                    platform_timeout);
-    if (reply && reply->status < status_internal_error)
+    if (reply && reply->status < wire::status_internal_error)
         return *reply;
     const auto why = reply ? "the platform answers with status " +
                                  std::to_string(reply->status)
@@ -137,13 +130,13 @@
 {
     const auto parsed = model::parse_resource(request.body);
     if (!parsed)
-        return refusal(status_bad_request, parsed.error().text);
+        return refusal(wire::status_bad_request, parsed.error().text);
     if (base::name_of(parsed->kind) != at.kind || parsed->name != at.name)
-        return refusal(status_bad_request,
+        return refusal(wire::status_bad_request,
                        "path and body name different resources");
     auto passed = platform_request(request, at);
     if (!passed.headers.contains("if-match"))
-        return refusal(status_bad_request,
+        return refusal(wire::status_bad_request,
                        "header If-Match: found nothing, allowed "
                        "is a version, 0 to create");
     passed.body = model::to_json(parsed->value);
@@ -157,22 +150,23 @@
                                   const wire::http_request& request)
 {
     if (!is_operator(options, request))
-        return refusal(status_unauthorized, "the operators' token is needed");
+        return refusal(wire::status_unauthorized,
+                       "the operators' token is needed");
     const auto at = split_path(request.path);
     if (!at.kind.empty() && !base::value_of<model::resource_kind>(at.kind))
-        return refusal(status_not_found,
+        return refusal(wire::status_not_found,
                        "kind " + at.kind +
                            ", allowed are search, upstream, index "
                            "and rule");
     if (at.name.empty())
         return request.method == "GET"
                    ? list(rt, at.kind)
-                   : refusal(status_method_not_allowed, "allowed is GET");
+                   : refusal(wire::status_method_not_allowed, "allowed is GET");
     if (request.method == "PUT")
         return put(rt, options, request, at);
     if (request.method == "GET" || request.method == "DELETE")
         return pass_on(rt, options, platform_request(request, at));
-    return refusal(status_method_not_allowed,
+    return refusal(wire::status_method_not_allowed,
                    "allowed are GET, PUT and DELETE");
 }
 
@@ -182,10 +176,11 @@
     const auto text = net::query_parameter(request.query, "version");
     const auto version = base::to_number(text);
     if (!text.empty() && !version)
-        return refusal(status_bad_request,
+        return refusal(wire::status_bad_request,
                        "version: found \"" + text + "\", allowed is a number");
     if (version && !is_operator(options, request))
-        return refusal(status_unauthorized, "the operators' token is needed");
+        return refusal(wire::status_unauthorized,
+                       "the operators' token is needed");
     return json_reply(rt.call(
         [&]
         {
@@ -199,11 +194,12 @@
                               const wire::http_request& request)
 {
     if (!is_operator(options, request))
-        return refusal(status_unauthorized, "the operators' token is needed");
+        return refusal(wire::status_unauthorized,
+                       "the operators' token is needed");
     const auto id = request.path.substr(traces_path.size());
     const auto found = rt.traces().find(id);
     if (!found)
-        return refusal(status_not_found, "this VM keeps no trace " + id);
+        return refusal(wire::status_not_found, "this VM keeps no trace " + id);
     auto spans = nlohmann::json::array();
     for (const auto& it : found->spans)
         spans.push_back({{"id", it.id},
--- a/lib/fleet/leaving_set.cpp
+++ b/lib/fleet/leaving_set.cpp
@@ -3,23 +3,9 @@
 
 #include "mimosacroft/base/stable_hash.hpp"
 
-#include <algorithm>
-
 namespace mimosacroft::fleet
 {
 
-namespace
-{
-
-/// Rounded up, so that a mark never gets younger by being passed on.
-std::uint32_t age_in_seconds(base::instant since, base::instant now)
-{
-    using std::chrono::ceil;
-    return static_cast<std::uint32_t>(ceil<base::seconds>(now - since).count());
-}
-
-} // namespace
-
 bool leaving_set::add(const wire::leaving_mark& mark, base::instant now)
 {
     const base::seconds age(mark.age_s);
@@ -67,7 +53,8 @@
     std::vector<wire::leaving_mark> out;
     for (const auto& [at, since] : marks_)
         if (now - since <= age)
-            out.push_back({at.first, at.second, age_in_seconds(since, now)});
+            out.push_back(
+                {at.first, at.second, base::age_in_seconds(now - since)});
     return out;
 }
 
--- a/lib/fleet/member_table.cpp
+++ b/lib/fleet/member_table.cpp
@@ -6,18 +6,6 @@
 namespace mimosacroft::fleet
 {
 
-namespace
-{
-
-/// Rounded up, so that a word never gets younger by being passed on.
-std::uint32_t age_in_seconds(base::instant heard, base::instant now)
-{
-    using std::chrono::ceil;
-    return static_cast<std::uint32_t>(ceil<base::seconds>(now - heard).count());
-}
-
-} // namespace
-
 void member_table::on_direct(const std::string& vm, const peer_knowledge& said)
 {
     auto& row = rows_[vm];
@@ -123,7 +111,7 @@
 {
     const auto& it = rows_.at(vm);
     return {vm, it.incarnation, it.heartbeat, it.config_version,
-            age_in_seconds(it.heard, now)};
+            base::age_in_seconds(now - it.heard)};
 }
 
 std::vector<wire::member_row>
--- a/lib/fleet/platform_client.cpp
+++ b/lib/fleet/platform_client.cpp
@@ -19,28 +19,22 @@
 {
 }
 
-void platform_client::refill(base::instant now)
-{
-    const double gained =
-        base::to_seconds(now - refilled_) * options_.calls_per_second;
-    tokens_ = std::min(tokens_ + gained, options_.burst_calls);
-    refilled_ = now;
-}
-
 bool platform_client::take_spare_call(base::instant now)
 {
-    refill(now);
-    if (failures_ > 0 || tokens_ < options_.burst_calls / 2 + 1)
+    if (failures_ > 0 || !take_token(options_.burst_calls / 2, now))
         return false;
-    tokens_ -= 1;
     ++calls_;
     return true;
 }
 
-bool platform_client::take_token(base::instant now)
+// Takes a call out of the budget if as many as `left` stay in it.
+bool platform_client::take_token(double left, base::instant now)
 {
-    refill(now);
-    if (tokens_ < 1)
+    const double gained =
+        base::to_seconds(now - refilled_) * options_.calls_per_second;
+    tokens_ = std::min(tokens_ + gained, options_.burst_calls);
+    refilled_ = now;
+    if (tokens_ < left + 1)
         return false;
     tokens_ -= 1;
     return true;
@@ -50,7 +44,7 @@
                                    base::milliseconds wait, base::instant now,
                                    core::effects& out)
 {
-    if (!take_token(now))
+    if (!take_token(0, now))
     {
         ++held_back_;
         return 0;
--- a/lib/fleet/view_lease.cpp
+++ b/lib/fleet/view_lease.cpp
@@ -123,10 +123,7 @@
     msg.confirmed = fresh(now);
     if (msg.confirmed)
     {
-        using std::chrono::duration_cast;
-        msg.offset_us =
-            duration_cast<base::microseconds>(confirmed_ - ask.received)
-                .count();
+        msg.offset_us = base::to_us(confirmed_ - ask.received);
         told_[to] = confirmed_;
     }
     out.emplace_back(to, msg);
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -104,7 +104,7 @@
     http_reply too_large() const
     {
         http_reply out;
-        out.status = 413;
+        out.status = wire::status_too_large;
         out.headers["content-type"] = "application/json";
         out.body = R"({"outcome":"rejected","error":"body is larger than )" +
                    std::to_string(context_.max_body_bytes) + R"( bytes"})";
--- a/lib/net/peer_transport.cpp
+++ b/lib/net/peer_transport.cpp
@@ -5,6 +5,8 @@
 #include "mimosacroft/wire/frame.hpp"
 #include "mimosacroft/wire/handshake.hpp"
 
+#include "http_convert.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cxxtools/connectable.h>
@@ -64,16 +66,14 @@
 
     void open(cxxtools::SelectorBase& selector, const std::string& address)
     {
-        const auto colon = address.rfind(':');
-        if (colon == std::string::npos)
+        const auto target = split_address(address);
+        if (!target)
             return close();
         try
         {
             socket_.setSelector(&selector);
-            const int port = std::atoi(address.c_str() + colon + 1);
             // A connect that succeeds at once is signalled by its caller.
-            if (socket_.beginConnect(address.substr(0, colon),
-                                     static_cast<unsigned short>(port)))
+            if (socket_.beginConnect(target->host, target->port))
                 on_connected(socket_);
         }
         catch (const std::exception&)
--- a/lib/operate/operator_client.cpp
+++ b/lib/operate/operator_client.cpp
@@ -107,10 +107,10 @@
     const auto reply = to.call("GET", path);
     if (!reply)
         return tl::unexpected<base::error>(reply.error());
-    if (reply->status == 404)
+    if (reply->status == wire::status_not_found)
         return current_state{};
     const auto in = json::parse(reply->body, nullptr, false);
-    if (reply->status != 200 || !in.is_object())
+    if (reply->status != wire::status_ok || !in.is_object())
         return apply_error(base::error_code::unavailable, path,
                            error_text(*reply));
     return current_state{in.value("version", std::uint64_t{0}),
@@ -131,9 +131,9 @@
         return read_back(to, path, wanted, base,
                          base::to_string(reply.error()));
     const auto in = json::parse(reply->body, nullptr, false);
-    if (reply->status == 200)
+    if (reply->status == wire::status_ok)
         return in.value("version", std::uint64_t{0});
-    if (reply->status == 409)
+    if (reply->status == wire::status_conflict)
     {
         const auto now = read_current(to, path);
         return apply_error(
@@ -142,7 +142,8 @@
                 " is not current any more, nothing was overwritten; " +
                 (now ? describe(*now) : "the current one cannot be read"));
     }
-    if (reply->status >= 500 && in.value("written", "unknown") != "no")
+    if (reply->status >= wire::status_internal_error &&
+        in.value("written", "unknown") != "no")
         return read_back(to, path, wanted, base, error_text(*reply));
     return apply_error(base::error_code::invalid, path, error_text(*reply));
 }
--- a/lib/query/claim_key.cpp
+++ b/lib/query/claim_key.cpp
@@ -1,8 +1,9 @@
 // Idempotency keys that state their own time.
 #include "mimosacroft/query/claim_key.hpp"
 
+#include "mimosacroft/base/text.hpp"
+
 #include <algorithm>
-#include <charconv>
 
 namespace mimosacroft::query
 {
@@ -20,15 +21,11 @@
     const auto digits =
         key.substr(std::min<std::size_t>(1, key.size()), time_digits);
     const bool dated = key.size() >= prefix_length && key.front() == 't' &&
-                       key[prefix_length - 1] == '-' &&
-                       std::ranges::all_of(digits, [](char c)
-                                           { return c >= '0' && c <= '9'; });
-    if (!dated)
+                       key[prefix_length - 1] == '-';
+    const auto seconds = base::to_number(digits);
+    if (!dated || !seconds)
         return std::nullopt;
-    std::int64_t out = 0;
-    const char* const begin = digits.data();
-    std::from_chars(begin, begin + digits.size(), out);
-    return out;
+    return static_cast<std::int64_t>(*seconds);
 }
 
 std::string_view dated_prefix(std::string_view key)
--- a/lib/query/claim_sweeper.cpp
+++ b/lib/query/claim_sweeper.cpp
@@ -14,10 +14,6 @@
 namespace
 {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_conflict = 409;
-
 std::string objects_path()
 {
     return "/v1/objects/" + std::string(dated_claim_kind);
@@ -100,33 +96,34 @@
     due_ = now + std::max<base::duration>(least, drawn);
 }
 
-void claim_sweeper::call(std::string method, std::string path,
-                         base::instant now, core::effects& out)
+void claim_sweeper::call(wire::http_request request, base::instant now,
+                         core::effects& out)
 {
     core::http_call made;
     made.owner = core::call_owner::sweeper;
     made.id = call_ = ++last_call_;
     made.address = options_.platform_address;
     made.deadline = now + options_.call_timeout;
-    made.request.method = std::move(method);
-    made.request.path = std::move(path);
-    if (queue_.empty())
-        made.request.query =
-            "values=no&limit=" + std::to_string(options_.listed);
-    else
-        made.request.headers["if-match"] =
-            std::to_string(queue_.back().version);
+    made.request = std::move(request);
     out.emplace_back(std::move(made));
 }
 
 void claim_sweeper::list(base::instant now, core::effects& out)
 {
-    call("GET", objects_path(), now, out);
+    wire::http_request request;
+    request.path = objects_path();
+    request.query = "values=no&limit=" + std::to_string(options_.listed);
+    call(std::move(request), now, out);
 }
 
 void claim_sweeper::remove_next(base::instant now, core::effects& out)
 {
-    call("DELETE", objects_path() + "/" + queue_.back().name, now, out);
+    const auto& next = queue_.back();
+    wire::http_request request;
+    request.method = "DELETE";
+    request.path = objects_path() + "/" + next.name;
+    request.headers["if-match"] = std::to_string(next.version);
+    call(std::move(request), now, out);
 }
 
 void claim_sweeper::on_http_reply(std::uint64_t call, const reply_result& reply,
@@ -140,7 +137,7 @@
     else
         on_removed(reply, now);
     if (queue_.empty() && removed_ > removed_before_)
-        end_sweep(now, out);
+        end_sweep(out);
 }
 
 bool claim_sweeper::clocks_agree(std::int64_t platform_s, base::instant now,
@@ -161,7 +158,7 @@
                               core::effects& out)
 {
     rest({}, now);
-    if (!reply || reply->status != status_ok)
+    if (!reply || reply->status != wire::status_ok)
         return;
     const auto date =
         base::parse_http_date(wire::header_of(reply->headers, "date"));
@@ -198,9 +195,9 @@
 // sweep's list says so.
 void claim_sweeper::on_removed(const reply_result& reply, base::instant now)
 {
-    const bool lost = reply && (reply->status == status_not_found ||
-                                reply->status == status_conflict);
-    const bool done = reply && reply->status == status_ok;
+    const bool lost = reply && (reply->status == wire::status_not_found ||
+                                reply->status == wire::status_conflict);
+    const bool done = reply && reply->status == wire::status_ok;
     if (!lost && !done)
     {
         queue_.clear();
@@ -218,7 +215,7 @@
         rest({}, now);
 }
 
-void claim_sweeper::end_sweep(base::instant, core::effects& out)
+void claim_sweeper::end_sweep(core::effects& out)
 {
     out.emplace_back(
         core::log_event{core::event_id::claims_removed,
--- a/lib/query/claims.cpp
+++ b/lib/query/claims.cpp
@@ -16,11 +16,6 @@
 namespace
 {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_conflict = 409;
-constexpr unsigned first_server_error = 500;
-
 // Texts with their lengths before them, so that no two lists are alike.
 template <std::size_t N>
 std::string digest_of(const std::array<std::string, N>& parts)
@@ -34,7 +29,7 @@
 // Whether a write may have taken effect although its reply does not say so.
 bool is_unclear(const base::result<wire::http_reply>& reply)
 {
-    return reply ? reply->status >= first_server_error
+    return reply ? reply->status >= wire::status_internal_error
                  : reply.error().code != base::error_code::unreachable;
 }
 
@@ -199,13 +194,13 @@
 {
     auto& it = open_.at(id);
     const auto when = check_key(it, reply, now);
-    if (has_status(reply, status_conflict))
+    if (has_status(reply, wire::status_conflict))
     {
         const auto stored = decode_conflict(reply->body);
         return stored ? judge(id, *stored, when, now, out)
                       : enter(id, step::confirm, now, out);
     }
-    if (has_status(reply, status_ok))
+    if (has_status(reply, wire::status_ok))
     {
         it.maybe_created = true;
         const auto version = decode_version(reply->body);
@@ -225,10 +220,10 @@
 {
     auto& it = open_.at(id);
     const auto when = check_key(it, reply, now);
-    if (has_status(reply, status_ok))
+    if (has_status(reply, wire::status_ok))
         if (const auto stored = decode_claim(reply->body))
             return judge(id, *stored, when, now, out);
-    if (has_status(reply, status_not_found))
+    if (has_status(reply, wire::status_not_found))
     {
         if (when != key_time::valid)
             return refuse_key(id, when);
@@ -352,7 +347,7 @@
     auto& it = open_.at(id);
     // A create that is not there yet may still arrive, so that 404 ends
     // nothing.
-    const auto stored = has_status(reply, status_ok)
+    const auto stored = has_status(reply, wire::status_ok)
                             ? decode_claim(reply->body)
                             : base::fail(base::error_code::unavailable,
                                          base::step::claim, "", "no claim");
@@ -369,9 +364,9 @@
 void claims::on_written(std::uint64_t id, const reply_result& reply,
                         base::instant now, core::effects&)
 {
-    const bool ended = has_status(reply, status_ok) ||
-                       has_status(reply, status_conflict) ||
-                       has_status(reply, status_not_found);
+    const bool ended = has_status(reply, wire::status_ok) ||
+                       has_status(reply, wire::status_conflict) ||
+                       has_status(reply, wire::status_not_found);
     if (ended)
         close(id);
     else
--- a/lib/query/latency_tracker.cpp
+++ b/lib/query/latency_tracker.cpp
@@ -15,11 +15,6 @@
 constexpr float window = 512;  ///< samples until all counts are halved
 constexpr double mean_weight = 0.1;
 
-double to_us(base::duration it)
-{
-    return std::chrono::duration<double, std::micro>(it).count();
-}
-
 base::duration from_us(double us)
 {
     return std::chrono::duration_cast<base::duration>(
@@ -30,7 +25,7 @@
 
 void latency_tracker::add(base::duration sample)
 {
-    const double us = std::max(to_us(sample), least_us);
+    const double us = std::max(base::to_fractional_us(sample), least_us);
     const auto wanted = static_cast<std::size_t>(
         std::ceil(std::log2(us / least_us) * buckets_per_octave));
     counts_[std::min(wanted, bucket_count - 1)] += 1;
--- a/lib/query/leaf.cpp
+++ b/lib/query/leaf.cpp
@@ -18,11 +18,6 @@
 /// A failing server can get this many full batches before it is ejected.
 constexpr extra_budget_options retry_reserve{.burst = 5 * max_batch};
 
-double to_fractional_ms(base::duration it)
-{
-    return std::chrono::duration<double, std::milli>(it).count();
-}
-
 } // namespace
 
 leaf::leaf(fleet::agent& fleet, leaf_options options)
@@ -75,7 +70,7 @@
     assert(!task.reported && "a shard is reported once");
     unqueue(task);
     task.reported = true;
-    it.queue_us = static_cast<std::uint32_t>(to_us(task.waited));
+    it.queue_us = static_cast<std::uint32_t>(base::to_us(task.waited));
     forward.reports.push_back(std::move(it));
     --forward.missing;
 }
@@ -209,11 +204,11 @@
             const auto* known = chooser_.find(server.name);
             if (!known)
                 continue;
-            out.servers.push_back({server.name, slots_.used(server.name),
-                                   slots_.held(server.name),
-                                   chooser_.ejected(server.name, now),
-                                   to_fractional_ms(known->latency.mean()),
-                                   to_fractional_ms(known->high)});
+            out.servers.push_back(
+                {server.name, slots_.used(server.name),
+                 slots_.held(server.name), chooser_.ejected(server.name, now),
+                 base::to_fractional_ms(known->latency.mean()),
+                 base::to_fractional_ms(known->high)});
         }
     return out;
 }
--- a/lib/query/leaf_detail.hpp
+++ b/lib/query/leaf_detail.hpp
@@ -7,9 +7,7 @@
 #include "mimosacroft/model/resources.hpp"
 #include "mimosacroft/wire/messages.hpp"
 
-#include <chrono>
 #include <cstddef>
-#include <cstdint>
 
 namespace mimosacroft::query
 {
@@ -30,11 +28,6 @@
         .value_or(model::priority::ordinary);
 }
 
-inline std::int64_t to_us(base::duration it)
-{
-    return std::chrono::duration_cast<base::microseconds>(it).count();
-}
-
 } // namespace mimosacroft::query
 
 #endif
--- a/lib/query/leaf_receive.cpp
+++ b/lib/query/leaf_receive.cpp
@@ -39,24 +39,10 @@
                          const base::result<wire::http_reply>& reply,
                          base::instant now, core::effects& out)
 {
-    if (const auto canceled = cancels_.find(id); canceled != cancels_.end())
-    {
-        const auto what = canceled->second;
-        cancels_.erase(canceled);
-        if (reply && reply->status == 200)
-            slots_.close(what.call);
-        return dispatch(what.upstream, now, out);
-    }
-    if (const auto probe = probes_.find(id); probe != probes_.end())
-    {
-        const auto server = probe->second;
-        probes_.erase(probe);
-        const auto health = reply ? decode_health(*reply) : std::nullopt;
-        if (health)
-            note_server(server, health->incarnation, health->leaving,
-                        health->load, next_probe_ - probe_period, now);
-        return;
-    }
+    if (cancels_.contains(id))
+        return on_canceled(id, reply, now, out);
+    if (probes_.contains(id))
+        return on_probed(id, reply, now);
     const auto it = calls_.find(id);
     if (it == calls_.end())
         return refuse("", "reply to no open call", out);
@@ -68,45 +54,68 @@
         if (auto* task = find(key))
             task->calls.erase(id);
     add_spans(call, now);
+    take_outcome(call, reply, now, out);
+    std::set<forward_key> touched;
+    for (const auto& [text, key] : call.tasks)
+        touched.insert(key.forward);
+    std::ranges::for_each(touched,
+                          [this](const auto& key) { answer_if_complete(key); });
+    dispatch(call.upstream, now, out);
+}
+
+void leaf::on_canceled(std::uint64_t id,
+                       const base::result<wire::http_reply>& reply,
+                       base::instant now, core::effects& out)
+{
+    const auto what = cancels_.extract(id).mapped();
+    if (reply && reply->status == wire::status_ok)
+        slots_.close(what.call);
+    dispatch(what.upstream, now, out);
+}
 
+void leaf::on_probed(std::uint64_t id,
+                     const base::result<wire::http_reply>& reply,
+                     base::instant now)
+{
+    const auto server = probes_.extract(id).mapped();
+    const auto health = reply ? decode_health(*reply) : std::nullopt;
+    if (health)
+        note_server(server, health->incarnation, health->leaving, health->load,
+                    next_probe_ - probe_period, now);
+}
+
+// Decides by how a call for subqueries ended.
+void leaf::take_outcome(const open_call& call,
+                        const base::result<wire::http_reply>& reply,
+                        base::instant now, core::effects& out)
+{
     using enum model::lack_reason;
     if (!reply)
     {
         const auto code = reply.error().code;
         const bool unsent = code == base::error_code::unreachable;
         const bool late = code == base::error_code::timeout;
-        take_failure(call,
-                     {unsent ? unreachable
-                      : late ? timeout
-                             : failed,
-                      !unsent, !unsent, false},
-                     base::to_string(reply.error()), now, out);
+        const auto reason = unsent ? unreachable : late ? timeout : failed;
+        return take_failure(call, {reason, !unsent, !unsent, false},
+                            base::to_string(reply.error()), now, out);
     }
-    else if (const auto refusal = decode_refusal(*reply))
+    if (const auto refusal = decode_refusal(*reply))
     {
         note_server(call.server, refusal->incarnation, refusal->leaving, {},
                     call.sent, now);
-        take_failure(call, {refused, false, true},
-                     "refused before start: " + refusal->reason, now, out);
+        return take_failure(call, {refused, false, true},
+                            "refused before start: " + refusal->reason, now,
+                            out);
     }
-    else if (reply->status != 200)
-        take_failure(call, {failed, true, true},
-                     "status " + std::to_string(reply->status), now, out);
-    else if (const auto parsed = decode_reply(reply->body); !parsed)
-    {
-        ++totals_.bad_answers;
-        take_failure(call, {bad_answer, true, true}, parsed.error().text, now,
-                     out);
-    }
-    else
-        take_reply(call, *parsed, now, out);
-
-    std::set<forward_key> touched;
-    for (const auto& [text, key] : call.tasks)
-        touched.insert(key.forward);
-    std::ranges::for_each(touched,
-                          [this](const auto& key) { answer_if_complete(key); });
-    dispatch(call.upstream, now, out);
+    if (reply->status != wire::status_ok)
+        return take_failure(call, {failed, true, true},
+                            "status " + std::to_string(reply->status), now,
+                            out);
+    const auto parsed = decode_reply(reply->body);
+    if (parsed)
+        return take_reply(call, *parsed, now, out);
+    ++totals_.bad_answers;
+    take_failure(call, {bad_answer, true, true}, parsed.error().text, now, out);
 }
 
 void leaf::take_failure(const open_call& call, const copy_end& how,
@@ -311,8 +320,8 @@
         hop.name = "upstream";
         hop.vm = fleet_.options().vm;
         hop.peer = call.server;
-        hop.start_us = to_us(call.sent - forward.started);
-        hop.length_us = to_us(now - call.sent);
+        hop.start_us = base::to_us(call.sent - forward.started);
+        hop.length_us = base::to_us(now - call.sent);
         forward.spans.push_back(std::move(hop));
     }
 }
--- a/lib/query/replica_chooser.cpp
+++ b/lib/query/replica_chooser.cpp
@@ -19,15 +19,12 @@
 constexpr std::uint32_t max_doublings = 5;
 constexpr double unknown_us = 1000;
 
-double to_us(base::duration it)
-{
-    return std::chrono::duration<double, std::micro>(it).count();
-}
-
 // The mean and the high quantile together: the mean alone hides a tail.
 double latency_us(const replica_state& it)
 {
-    return (to_us(it.latency.mean()) + to_us(it.high)) / 2;
+    return (base::to_fractional_us(it.latency.mean()) +
+            base::to_fractional_us(it.high)) /
+           2;
 }
 
 bool is_open(const replica_chooser::limits& within, const model::server& it)
@@ -63,7 +60,8 @@
 double replica_chooser::warmth(const replica_state& it, base::instant now) const
 {
     const auto begin = std::max(it.warm_since, it.ejected_until);
-    const double part = to_us(now - begin) / to_us(options_.slow_start);
+    const double part = base::to_fractional_us(now - begin) /
+                        base::to_fractional_us(options_.slow_start);
     return std::clamp(part, least_warmth, 1.0);
 }
 
--- a/lib/query/root.cpp
+++ b/lib/query/root.cpp
@@ -275,9 +275,7 @@
     out.id = root_span;
     out.name = "query";
     out.vm = fleet_.options().vm;
-    out.length_us =
-        std::chrono::duration_cast<base::microseconds>(now - query.started)
-            .count();
+    out.length_us = base::to_us(now - query.started);
     if (query.restarted)
         out.note = "restarted at a newer epoch";
     return out;
--- a/lib/query/scatter.cpp
+++ b/lib/query/scatter.cpp
@@ -49,11 +49,6 @@
     return static_cast<std::uint32_t>(std::max<long long>(left, 0));
 }
 
-std::int64_t to_us(base::duration d)
-{
-    return std::chrono::duration_cast<base::microseconds>(d).count();
-}
-
 // Whether another upstream of the shard may be asked after this report: only
 // when no server of the first one did or refused the work, so that this adds
 // no load.
@@ -261,8 +256,8 @@
     hop.name = "forward";
     hop.vm = fleet_.options().vm;
     hop.peer = out.vm;
-    hop.start_us = to_us(out.sent - job.started);
-    hop.length_us = to_us(now - out.sent);
+    hop.start_us = base::to_us(out.sent - job.started);
+    hop.length_us = base::to_us(now - out.sent);
     hop.note = note;
     job.spans.push_back(std::move(hop));
     return out;
@@ -276,7 +271,7 @@
     std::map<std::uint64_t, std::uint64_t> ids;
     for (const auto& it : spans)
         ids.try_emplace(it.id, job.next_span++);
-    const auto offset = to_us(forward.sent - job.started);
+    const auto offset = base::to_us(forward.sent - job.started);
     for (const auto& it : spans)
     {
         const auto parent = ids.find(it.parent);
--- a/lib/query/upstream_codec.cpp
+++ b/lib/query/upstream_codec.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unavailable = 503;
-
 std::string dump(const nlohmann::json& value)
 {
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -75,7 +72,7 @@
 
 std::optional<upstream_refusal> decode_refusal(const wire::http_reply& reply)
 {
-    if (reply.status != status_unavailable)
+    if (reply.status != wire::status_unavailable)
         return std::nullopt;
     try
     {
@@ -110,7 +107,7 @@
 
 std::optional<upstream_health> decode_health(const wire::http_reply& reply)
 {
-    if (reply.status != status_ok)
+    if (reply.status != wire::status_ok)
         return std::nullopt;
     try
     {
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -78,7 +78,7 @@
 {
     if (!reply)
         complain(base::to_string(reply.error()));
-    else if (reply->status != 200)
+    else if (reply->status != wire::status_ok)
         complain(error_text(*reply));
     else
         return json::parse(reply->body, nullptr, false);
@@ -142,7 +142,7 @@
     {
         const auto reply =
             to.call("GET", "/v1/status?version=" + std::to_string(version));
-        if (!reply || reply->status != 200)
+        if (!reply || reply->status != wire::status_ok)
             return complain("the status cannot be read");
         lagging.clear();
         std::size_t n = 0;
@@ -329,7 +329,7 @@
     for (;;)
     {
         const auto reply = to.call("GET", "/v1/resources");
-        if (!reply || reply->status != 200)
+        if (!reply || reply->status != wire::status_ok)
             return complain("the resources cannot be read");
         std::map<std::string, std::uint64_t> now;
         const auto in = json::parse(reply->body);
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -211,9 +211,10 @@
     const bool configured =
         rt.call([&] { return rt.node().fleet().store().through() > 0; });
     if (door.stopping())
-        return plain(503, "stopping\n");
-    return configured ? plain(200, "ready\n")
-                      : plain(503, "no configuration yet\n");
+        return plain(wire::status_unavailable, "stopping\n");
+    return configured
+               ? plain(wire::status_ok, "ready\n")
+               : plain(wire::status_unavailable, "no configuration yet\n");
 }
 
 wire::http_reply route(daemon::runtime& rt, const front_door& door,
@@ -230,12 +231,14 @@
     if (path == "/v1/status")
         return daemon::handle_status(rt, options, request);
     if (path == "/metrics")
-        return plain(200, rt.metrics().render());
+        return plain(wire::status_ok, rt.metrics().render());
     if (path == "/ready")
         return ready(rt, door);
     if (path == "/")
-        return plain(200, rt.call([&] { return daemon::status_text(rt); }));
-    return daemon::refusal(404, "nothing is at the path " + path);
+        return plain(wire::status_ok,
+                     rt.call([&] { return daemon::status_text(rt); }));
+    return daemon::refusal(wire::status_not_found,
+                           "nothing is at the path " + path);
 }
 
 // Rows "id,data-centre,address" with ";" between; nothing if one has another
