Look a VM's address up in one place

Two mends of this change stood beside each other: the agent's own messages reached a VM that had left the list, by the older lists, and the node's reached one that was never in it; neither did both. address_of() does both and agent::send() is the only way out, so that the node's copy goes. What changes: a root that has just left the list still gets the answers of its forwards. left_vm.gets_the_answers_that_it_still_waits_for failed first (no answer sent). fleet 97, query 109, node 4, load 8 tests passed.

--- a/include/mimosacroft/fleet/agent.hpp
+++ b/include/mimosacroft/fleet/agent.hpp
@@ -85,14 +85,12 @@
         return members_.all();
     }
 
-    /// Where a VM is reached, also one that is in no list; empty if not known.
-    std::string address_of(const std::string& vm) const
-    {
-        if (const auto* entry = view_.find(vm))
-            return entry->peer_address;
-        const auto stranger = strangers_.find(vm);
-        return stranger == strangers_.end() ? std::string() : stranger->second;
-    }
+    /// Where a VM is reached, also one that left the list or was never in it;
+    /// empty if not known.
+    std::string address_of(const std::string& vm) const;
+    /// Sends a message there; drops it if that is not known.
+    void send(const std::string& vm, wire::message msg,
+              core::effects& out) const;
 
     /// Whether forwards should go to another VM if there is one.
     bool is_suspected(const std::string& vm, base::instant now) const
@@ -205,7 +203,6 @@
     bool enters_here(const std::string& from) const;
     std::vector<std::string> push_targets(const std::string& from) const;
     std::vector<std::string> one_of_each_other_data_centre(std::size_t most);
-    void send(const std::string& vm, wire::message msg, core::effects& out);
     void send_lease(std::vector<view_lease::outgoing>& all, core::effects& out);
 
     agent_options options_;
--- a/include/mimosacroft/node/node.hpp
+++ b/include/mimosacroft/node/node.hpp
@@ -99,7 +99,6 @@
     void settle(base::instant now, core::effects& out);
     bool settle_once(base::instant now, core::effects& out);
     bool loop_back(base::instant now, core::effects& out);
-    void send(const std::string& vm, wire::message msg, core::effects& out);
 
     fleet::agent fleet_;
     query::scatter scatter_;
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -151,7 +151,7 @@
         return;
     const auto call = it->second;
     calls_.erase(it);
-    const bool ok = reply && reply->status == 200;
+    const bool ok = reply && reply->status == wire::status_ok;
     const bool watch = call.kind == request_kind::watch;
     const auto heard = platform_.heard();
     if (ok && heard != base::never && now - heard > reread_after)
@@ -444,19 +444,26 @@
     return out;
 }
 
-void agent::send(const std::string& vm, wire::message msg, core::effects& out)
+std::string agent::address_of(const std::string& vm) const
 {
     const auto* entry = view_.find(vm);
     // A VM that left the list asks with the older one until it hears so.
     for (auto it = older_views_.rbegin(); !entry && it != older_views_.rend();
          ++it)
         entry = it->find(vm);
-    const auto stranger = strangers_.find(vm);
     if (entry)
+        return entry->peer_address;
+    const auto stranger = strangers_.find(vm);
+    return stranger == strangers_.end() ? std::string() : stranger->second;
+}
+
+void agent::send(const std::string& vm, wire::message msg,
+                 core::effects& out) const
+{
+    auto address = address_of(vm);
+    if (!address.empty())
         out.emplace_back(
-            core::send_peer{vm, entry->peer_address, std::move(msg)});
-    else if (stranger != strangers_.end())
-        out.emplace_back(core::send_peer{vm, stranger->second, std::move(msg)});
+            core::send_peer{vm, std::move(address), std::move(msg)});
 }
 
 void agent::send_lease(std::vector<view_lease::outgoing>& all,
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -94,7 +94,7 @@
 void node::refuse_forward(const std::string& from, const wire::forward& msg,
                           core::effects& out)
 {
-    send(from, wire::drain_notice{fleet_.options().incarnation}, out);
+    fleet_.send(from, wire::drain_notice{fleet_.options().incarnation}, out);
     wire::forward_answer refused{msg.query, msg.attempt, msg.epoch, {}, {}};
     for (const auto& it : msg.shards)
     {
@@ -102,7 +102,7 @@
         report.shard = it.shard;
         report.lack = static_cast<std::uint8_t>(model::lack_reason::refused);
     }
-    send(from, std::move(refused), out);
+    fleet_.send(from, std::move(refused), out);
 }
 
 void node::on_drain_notice(const std::string& from,
@@ -129,7 +129,7 @@
             report.lack =
                 static_cast<std::uint8_t>(model::lack_reason::no_server);
         }
-        return send(from, std::move(refused), out);
+        return fleet_.send(from, std::move(refused), out);
     }
     query::scatter_job job;
     job.request = msg;
@@ -220,7 +220,8 @@
     sweeper_.stop();
     for (const auto& it : fleet_.view().entries())
         if (it.vm != fleet_.options().vm)
-            send(it.vm, wire::drain_notice{fleet_.options().incarnation}, out);
+            fleet_.send(it.vm, wire::drain_notice{fleet_.options().incarnation},
+                        out);
 }
 
 bool node::idle() const
@@ -234,14 +235,6 @@
     return std::exchange(answers_, {});
 }
 
-void node::send(const std::string& vm, wire::message msg, core::effects& out)
-{
-    // A VM that started while the platform is away is in no list yet.
-    const auto address = fleet_.address_of(vm);
-    if (!address.empty())
-        out.emplace_back(core::send_peer{vm, address, std::move(msg)});
-}
-
 // Passes results on between the parts until nothing moves any more.
 void node::settle(base::instant now, core::effects& out)
 {
@@ -268,7 +261,7 @@
         for (auto& it : answer.msg.spans)
             if (it.parent == answer.msg.attempt)
                 it.parent = 0;
-        send(answer.to, std::move(answer.msg), out);
+        fleet_.send(answer.to, std::move(answer.msg), out);
         moved = true;
     }
     for (auto& result : scatter_.take_finished())
@@ -279,11 +272,11 @@
         if (!relayed_.contains(result.job))
             continue;
         const auto to = end_relay(result.job);
-        send(to.from,
-             wire::forward_answer{to.query, to.attempt, to.epoch,
-                                  std::move(result.reports),
-                                  std::move(result.spans)},
-             out);
+        fleet_.send(to.from,
+                    wire::forward_answer{to.query, to.attempt, to.epoch,
+                                         std::move(result.reports),
+                                         std::move(result.spans)},
+                    out);
     }
     std::ranges::move(root_.take_answers(), std::back_inserter(answers_));
     return loop_back(now, out) || moved;
--- a/unittests/node/node_test.cpp
+++ b/unittests/node/node_test.cpp
@@ -61,6 +61,31 @@
 
 } // namespace
 
+TEST_GROUP(left_vm){};
+
+TEST(left_vm, gets_the_answers_that_it_still_waits_for)
+{
+    node::node leaf{options_of("far-0", "antwerpen"), 2};
+    configure(leaf);
+    core::effects out;
+    wire::forward msg;
+    msg.query = {42, 1};
+    msg.attempt = 1;
+    msg.epoch = 3;
+    msg.budget_ms = 100;
+    msg.shards = {{0, "s0", "u"}};
+    leaf.on_message("root", 1, msg, test_start, out);
+    wire::view_push without;
+    without.version = 2;
+    without.entries = {{"far-0", "antwerpen", "127.0.0.1:9", false},
+                       {"far-1", "antwerpen", "127.0.0.1:9", false}};
+    leaf.on_message("far-1", 1, without, test_start, out);
+    leaf.on_tick(test_start + milliseconds(100), out);
+    const auto answers = sent<wire::forward_answer>(out);
+    LONGS_EQUAL(1, answers.size());
+    STRCMP_EQUAL("root", answers[0].first.c_str());
+}
+
 TEST_GROUP(draining_node)
 {
     node::node root{options_of("root", "oostende"), 1};
