Fleet tests share their objects and their start

search_value stood in four test files, upstream_value in three, start_all in three and the like in three more places; virtual_fleet has them once. link_relay takes its loopback address from raw_server.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -135,9 +135,7 @@
     for (std::size_t n = 0; n < upstreams; ++n)
         all.platform.put("upstream", "u" + std::to_string(n),
                          upstream_value(n, 2, data_centres));
-    for (std::size_t n = 0; n < members; ++n)
-        all.start(n);
-    all.run(base::seconds(30));
+    all.start_all(base::seconds(30));
     for (auto& it : all.members)
     {
         it.traffic_of = {};
--- a/unittests/daemon/link_relay.hpp
+++ b/unittests/daemon/link_relay.hpp
@@ -3,10 +3,10 @@
 #ifndef MIMOSACROFT_UNITTESTS_DAEMON_LINK_RELAY_HPP
 #define MIMOSACROFT_UNITTESTS_DAEMON_LINK_RELAY_HPP
 
+#include "../net/raw_server.hpp"
 #include "mimosacroft/base/time.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <atomic>
 #include <list>
@@ -76,21 +76,12 @@
 
     static constexpr int poll_ms = 20;
 
-    static sockaddr_in local(int port)
-    {
-        sockaddr_in out{};
-        out.sin_family = AF_INET;
-        out.sin_port = htons(static_cast<std::uint16_t>(port));
-        out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        return out;
-    }
-
     static int listen_at(int port)
     {
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        const auto at = local(port);
+        const auto at = raw_server::loopback(port);
         if (::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) !=
                 0 ||
             ::listen(fd, SOMAXCONN) != 0)
@@ -153,7 +144,7 @@
         made.route = &routes_[n];
         made.fds[0] = ::accept4(listeners_[n], nullptr, nullptr, SOCK_CLOEXEC);
         made.fds[1] = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto at = local(made.route->target_port);
+        const auto at = raw_server::loopback(made.route->target_port);
         if (::connect(made.fds[1], reinterpret_cast<const sockaddr*>(&at),
                       sizeof at) != 0)
             return close_both(made);
--- a/unittests/fleet/agent_property_test.cpp
+++ b/unittests/fleet/agent_property_test.cpp
@@ -14,25 +14,6 @@
 constexpr std::size_t fleet_size = 6;
 constexpr auto longest_request = base::milliseconds(2000);
 
-nlohmann::json search_value(const std::string& name, unsigned deadline)
-{
-    return {{"kind", "search"},
-            {"name", name},
-            {"spec",
-             {{"index", "i"},
-              {"max_deadline_ms", 60000},
-              {"default_deadline_ms", deadline}}}};
-}
-
-nlohmann::json upstream_value()
-{
-    return {{"kind", "upstream"},
-            {"name", "u"},
-            {"spec",
-             {{"data_centre", "dc-0"},
-              {"servers", {{{"name", "a"}, {"address", "127.0.0.1:3"}}}}}}};
-}
-
 // One fault or change; what `target` means depends on the action.
 struct action
 {
@@ -80,12 +61,6 @@
         { return !cuts_.contains({from, to}); };
     }
 
-    void start()
-    {
-        for (std::size_t n = 0; n < fleet_size; ++n)
-            all.start(n);
-    }
-
     // Configuration and the platform.
     void change_configuration(const action& it)
     {
@@ -306,7 +281,7 @@
             const auto check = [&] { versions.check(world.all); };
             world.all.loss = 0.1;
             world.all.duplicate = 0.1;
-            world.start();
+            world.all.start_all();
             for (const auto& it : actions)
             {
                 switch (it.kind % 10)
@@ -366,7 +341,7 @@
                         chaos world(1);
                         usage_monitor usage;
                         const auto check = [&] { usage.check(world.all); };
-                        world.start();
+                        world.all.start_all();
                         world.all.run(base::seconds(8), check);
                         for (const auto& it : actions)
                         {
--- a/unittests/fleet/agent_test.cpp
+++ b/unittests/fleet/agent_test.cpp
@@ -11,33 +11,6 @@
 namespace
 {
 
-nlohmann::json search_value(const std::string& name, unsigned deadline)
-{
-    return {{"kind", "search"},
-            {"name", name},
-            {"spec",
-             {{"index", "i"},
-              {"max_deadline_ms", 60000},
-              {"default_deadline_ms", deadline}}}};
-}
-
-nlohmann::json upstream_value(const std::string& name,
-                              const std::string& data_centre)
-{
-    return {
-        {"kind", "upstream"},
-        {"name", name},
-        {"spec",
-         {{"data_centre", data_centre},
-          {"servers", {{{"name", name + "-a"}, {"address", "127.0.0.1:3"}}}}}}};
-}
-
-void start_all(virtual_fleet& it)
-{
-    for (std::size_t n = 0; n < it.members.size(); ++n)
-        it.start(n);
-}
-
 std::uint64_t version_of(const fleet::agent& it, const std::string& name)
 {
     const auto* entry = it.store().find("search", name);
@@ -75,7 +48,7 @@
 TEST(agents, a_vm_that_asks_hears_who_has_a_version_in_force)
 {
     virtual_fleet all(9, 3, 1);
-    start_all(all);
+    all.start_all();
     all.run(base::seconds(10));
     const auto version =
         all.platform.put("search", "wait", search_value("wait", 100));
@@ -94,8 +67,8 @@
 TEST(agents, a_change_is_in_force_everywhere_and_only_watchers_call)
 {
     virtual_fleet all(18, 3, 1);
-    all.platform.put("upstream", "u", upstream_value("u", "dc-0"));
-    start_all(all);
+    all.platform.put("upstream", "u", upstream_value("u-a"));
+    all.start_all();
     all.run(base::seconds(10));
     for (auto& it : all.members)
         it.platform_calls = 0;
@@ -115,8 +88,8 @@
 TEST(agents, owners_are_usable_once_the_view_is_settled)
 {
     virtual_fleet all(3, 1, 1);
-    all.platform.put("upstream", "u", upstream_value("u", "dc-0"));
-    start_all(all);
+    all.platform.put("upstream", "u", upstream_value("u-a"));
+    all.start_all();
     all.run(base::seconds(10));
     std::uint32_t slots = 0;
     for (const auto& it : all.members)
@@ -127,7 +100,7 @@
 TEST(agents, a_vm_that_left_the_list_hears_so_from_its_peers)
 {
     virtual_fleet all(4, 1, 1);
-    start_all(all);
+    all.start_all();
     all.run(base::seconds(10));
     all.passes = [](std::size_t from, std::size_t to)
     { return (from != 3 || to != 4) && (from != 4 || to != 3); };
@@ -141,10 +114,10 @@
 TEST(agents, a_view_settles_after_one_without_vms)
 {
     virtual_fleet all(3, 1, 1);
-    all.platform.put("upstream", "u", upstream_value("u", "dc-0"));
+    all.platform.put("upstream", "u", upstream_value("u-a"));
     const auto vms = all.platform.vms;
     all.platform.set_vms({});
-    start_all(all);
+    all.start_all();
     all.run(base::seconds(3));
     all.platform.set_vms(vms);
     all.run(base::seconds(10));
@@ -156,12 +129,12 @@
 {
     virtual_fleet all(vms_of_two, 2, 1);
     // Objects of the size that upstreams with 8 servers have.
-    auto value = upstream_value("u", "dc-0");
+    auto value = upstream_value("u-a");
     for (int n = 0; n < 7; ++n)
         value["spec"]["servers"].push_back(
             {{"name", "u-" + std::to_string(n)}, {"address", "127.0.0.1:3"}});
     all.platform.put("upstream", "u", value);
-    start_all(all);
+    all.start_all();
     all.run(base::seconds(10));
     for (auto& it : all.members)
         it.traffic_of = {};
@@ -178,8 +151,8 @@
 TEST(agents, a_change_passes_lost_vms_of_a_cut_data_centre_within_5_s)
 {
     virtual_fleet all(vms_of_two, 2, 1);
-    all.platform.put("upstream", "u", upstream_value("u", "dc-0"));
-    start_all(all);
+    all.platform.put("upstream", "u", upstream_value("u-a"));
+    all.start_all();
     all.run(base::seconds(10));
     all.passes = [&all](std::size_t from, std::size_t to)
     {
@@ -201,7 +174,7 @@
 TEST(agents, an_ack_repeats_no_row_of_its_probe)
 {
     virtual_fleet all(6, 1, 1);
-    start_all(all);
+    all.start_all();
     all.run(base::seconds(10));
     const auto& prober = all.members[3].options;
     std::size_t acks = 0;
--- a/unittests/fleet/leaving_test.cpp
+++ b/unittests/fleet/leaving_test.cpp
@@ -10,13 +10,6 @@
 namespace
 {
 
-void start_all(virtual_fleet& it)
-{
-    for (std::size_t n = 0; n < it.members.size(); ++n)
-        it.start(n);
-    it.run(base::seconds(10));
-}
-
 // A VM hears from server "a" itself that it leaves.
 void mark(virtual_fleet& it, std::size_t n, const std::string& incarnation)
 {
@@ -40,7 +33,7 @@
     virtual_fleet all(12, 3, 1);
     for (auto& it : all.members)
         it.options.gossip_period = base::seconds(3600);
-    start_all(all);
+    all.start_all(base::seconds(10));
     mark(all, 4, "1");
     all.run(base::seconds(1));
     LONGS_EQUAL(12, barring(all));
@@ -49,7 +42,7 @@
 TEST(leaving, digests_mend_lost_pushes_within_5_s)
 {
     virtual_fleet all(18, 3, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.loss = 1;
     mark(all, 4, "1");
     all.run(base::milliseconds(100));
@@ -62,7 +55,7 @@
 TEST(leaving, a_mark_spreads_within_5_s_under_loss)
 {
     virtual_fleet all(60, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.loss = 0.2;
     mark(all, 7, "1");
     all.run(base::seconds(5));
@@ -72,7 +65,7 @@
 TEST(leaving, a_mark_spreads_while_the_platform_is_away)
 {
     virtual_fleet all(6, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.platform.down = true;
     all.run(base::seconds(20));
     mark(all, 3, "1");
@@ -83,7 +76,7 @@
 TEST(leaving, a_cut_data_centre_learns_of_a_mark_after_the_mend)
 {
     virtual_fleet all(6, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.passes = [](std::size_t from, std::size_t to)
     { return from % 2 == to % 2; };
     mark(all, 0, "1");
@@ -97,7 +90,7 @@
 TEST(leaving, a_restarted_vm_gets_the_marks_from_a_peer)
 {
     virtual_fleet all(3, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     mark(all, 0, "1");
     all.run(base::seconds(60));
     all.start(2);
@@ -109,7 +102,7 @@
 TEST(leaving, a_vm_restarted_in_an_outage_gets_the_marks_from_a_seed)
 {
     virtual_fleet all(3, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     mark(all, 0, "1");
     all.run(base::seconds(60));
     all.platform.down = true;
@@ -122,7 +115,7 @@
 TEST(leaving, marks_outlive_the_vm_that_learned_first)
 {
     virtual_fleet all(3, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     mark(all, 0, "1");
     all.run(base::seconds(1));
     all.stop(0);
@@ -135,7 +128,7 @@
 TEST(leaving, an_old_rumour_bars_no_restarted_server)
 {
     virtual_fleet all(3, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     for (std::size_t n = 0; n < 3; ++n)
         all.with(n, [&](auto& agent, auto&)
                  { agent.note_incarnation("a", "2", all.now); });
@@ -154,7 +147,7 @@
 TEST(leaving, marks_end_everywhere_after_the_retention)
 {
     virtual_fleet all(4, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     const auto& from = all.members[1].options;
     const wire::leaving_push old{{{"a", "1", 3580}}};
     all.with(
--- a/unittests/fleet/member_table_test.cpp
+++ b/unittests/fleet/member_table_test.cpp
@@ -30,13 +30,6 @@
     return {"b", incarnation, heartbeat, 0, age_s};
 }
 
-void start_all(virtual_fleet& it)
-{
-    for (std::size_t n = 0; n < it.members.size(); ++n)
-        it.start(n);
-    it.run(seconds(10));
-}
-
 // How many VMs suspect VM `n`.
 long suspecting(const virtual_fleet& all, std::size_t n)
 {
@@ -172,7 +165,7 @@
 TEST(suspicion, a_vm_that_ended_is_suspected_by_all)
 {
     virtual_fleet all(6, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.stop(5);
     all.run(seconds(30));
     all.start(5);
@@ -182,7 +175,7 @@
 TEST(suspicion, a_paused_vm_is_suspected_until_it_continues)
 {
     virtual_fleet all(6, 2, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.pause(5);
     all.run(seconds(30));
     LONGS_EQUAL(5, suspecting(all, 5));
@@ -194,7 +187,7 @@
 TEST(suspicion, lost_messages_suspect_no_vm_of_a_large_data_centre)
 {
     virtual_fleet all(40, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.loss = 0.1;
     suspicion_counter counter;
     for (int k = 0; k < 60; ++k)
@@ -208,7 +201,7 @@
 TEST(suspicion, a_one_way_cut_between_two_vms_suspects_neither)
 {
     virtual_fleet all(40, 1, 1);
-    start_all(all);
+    all.start_all(base::seconds(10));
     all.passes = [](std::size_t from, std::size_t to)
     { return from != 0 || to != 1; };
     suspicion_counter counter;
@@ -230,7 +223,7 @@
          {"spec",
           {{"data_centre", "dc-0"},
            {"servers", {{{"name", "a"}, {"address", "127.0.0.1:3"}}}}}}});
-    start_all(all);
+    all.start_all(base::seconds(10));
     const auto owners = all.members[0].agent->ownership().owners_of("u");
     const auto& cut_vm = owners.front();
     all.passes = [&](std::size_t from, std::size_t)
--- a/unittests/fleet/older_list_test.cpp
+++ b/unittests/fleet/older_list_test.cpp
@@ -9,20 +9,6 @@
 using namespace mimosacroft::tests;
 using base::seconds;
 
-namespace
-{
-
-nlohmann::json upstream_value()
-{
-    return {{"kind", "upstream"},
-            {"name", "u"},
-            {"spec",
-             {{"data_centre", "dc-0"},
-              {"servers", {{{"name", "a"}, {"address", "127.0.0.1:3"}}}}}}};
-}
-
-} // namespace
-
 // Four VMs that have used version 10 of the list for a while.
 TEST_GROUP(older_list)
 {
@@ -35,9 +21,7 @@
         full = all.platform.vms;
         all.platform.vms_version = 10;
         all.platform.put("upstream", "u", upstream_value());
-        for (std::size_t n = 0; n < 4; ++n)
-            all.start(n);
-        all.run(seconds(10));
+        all.start_all(seconds(10));
         version_before = all.members[0].agent->view().version();
     }
 
--- a/unittests/fleet/seeds_test.cpp
+++ b/unittests/fleet/seeds_test.cpp
@@ -8,21 +8,6 @@
 using namespace mimosacroft::tests;
 using base::seconds;
 
-namespace
-{
-
-nlohmann::json search_value()
-{
-    return {{"kind", "search"},
-            {"name", "s"},
-            {"spec",
-             {{"index", "i"},
-              {"max_deadline_ms", 60000},
-              {"default_deadline_ms", 100}}}};
-}
-
-} // namespace
-
 // Four VMs with configuration, an outage, and VM 3 that starts in it.
 TEST_GROUP(seeds)
 {
@@ -30,10 +15,8 @@
 
     void setup() override
     {
-        all.platform.put("search", "s", search_value());
-        for (std::size_t n = 0; n < 4; ++n)
-            all.start(n);
-        all.run(seconds(10));
+        all.platform.put("search", "s", search_value("s", 100));
+        all.start_all(seconds(10));
         all.platform.down = true;
         all.run(seconds(10));
     }
--- a/unittests/fleet/virtual_fleet.hpp
+++ b/unittests/fleet/virtual_fleet.hpp
@@ -22,6 +22,27 @@
 namespace mimosacroft::tests
 {
 
+/// A search as the platform holds it, told apart by its deadline.
+inline nlohmann::json search_value(const std::string& name, unsigned deadline)
+{
+    return {{"kind", "search"},
+            {"name", name},
+            {"spec",
+             {{"index", "i"},
+              {"max_deadline_ms", 60000},
+              {"default_deadline_ms", deadline}}}};
+}
+
+/// The upstream "u" of the data centre "dc-0", with one server.
+inline nlohmann::json upstream_value(const std::string& server = "a")
+{
+    return {{"kind", "upstream"},
+            {"name", "u"},
+            {"spec",
+             {{"data_centre", "dc-0"},
+              {"servers", {{{"name", server}, {"address", "127.0.0.1:3"}}}}}}};
+}
+
 /// The platform's object API as the agents see it.
 struct fake_platform
 {
@@ -150,6 +171,14 @@
         with(n, [&](auto& agent, auto& out) { agent.on_tick(now, out); });
     }
 
+    /// Starts every member and lets them run for a while.
+    void start_all(base::duration settling = {})
+    {
+        for (std::size_t n = 0; n < members.size(); ++n)
+            start(n);
+        run(settling);
+    }
+
     void stop(std::size_t n) { members[n].agent.reset(); }
 
     void pause(std::size_t n) { members[n].paused = true; }
--- a/unittests/fleet/watch_cursor_test.cpp
+++ b/unittests/fleet/watch_cursor_test.cpp
@@ -10,21 +10,6 @@
 using base::seconds;
 using fleet::watch_answer;
 
-namespace
-{
-
-nlohmann::json search_value(unsigned deadline)
-{
-    return {{"kind", "search"},
-            {"name", "s"},
-            {"spec",
-             {{"index", "i"},
-              {"max_deadline_ms", 60000},
-              {"default_deadline_ms", deadline}}}};
-}
-
-} // namespace
-
 TEST_GROUP(watch_cursor){};
 
 TEST(watch_cursor, follows_newer_answers)
@@ -80,9 +65,9 @@
 
     void setup() override
     {
-        all.platform.put("search", "s", search_value(100));
+        all.platform.put("search", "s", search_value("s", 100));
         old_objects = all.platform.objects;
-        all.platform.put("search", "s", search_value(200));
+        all.platform.put("search", "s", search_value("s", 200));
         all.start(0);
         all.run(seconds(10));
         all.on_event = [this](std::size_t, const core::log_event& it)
@@ -135,7 +120,7 @@
     restore();
     all.run(seconds(30));
     all.platform.version = 2;
-    all.platform.put("search", "s", search_value(300));
+    all.platform.put("search", "s", search_value("s", 300));
     all.changed();
     all.run(seconds(5));
     LONGS_EQUAL(300, deadline_in_force());
@@ -147,10 +132,10 @@
     all.platform.down = true;
     all.changed();
     all.run(seconds(20));
-    auto other = search_value(50);
+    auto other = search_value("s", 50);
     other["name"] = "t";
     all.platform.put("search", "t", other); // version 2, as in the old store
-    all.platform.put("search", "s", search_value(300));
+    all.platform.put("search", "s", search_value("s", 300));
     all.platform.down = false;
     all.run(seconds(20));
     LONGS_EQUAL(300, deadline_in_force());
