--- a/include/mimosacroft/query/latency_tracker.hpp
+++ b/include/mimosacroft/base/latency_tracker.hpp
@@ -1,13 +1,13 @@
 // Recent latencies of a server or an upstream: a decayed mean and quantiles.
-#ifndef MIMOSACROFT_QUERY_LATENCY_TRACKER_HPP
-#define MIMOSACROFT_QUERY_LATENCY_TRACKER_HPP
+#ifndef MIMOSACROFT_BASE_LATENCY_TRACKER_HPP
+#define MIMOSACROFT_BASE_LATENCY_TRACKER_HPP
 
 #include "mimosacroft/base/time.hpp"
 
 #include <array>
 #include <cstddef>
 
-namespace mimosacroft::query
+namespace mimosacroft::base
 {
 
 /// Counts in buckets whose bounds grow by a quarter of an octave; all counts
@@ -15,12 +15,12 @@
 class latency_tracker
 {
 public:
-    void add(base::duration sample);
+    void add(duration sample);
 
     /// Decayed mean; zero without samples.
-    base::duration mean() const;
+    duration mean() const;
     /// Upper bound of the bucket that holds the quantile; zero without samples.
-    base::duration quantile(double q) const;
+    duration quantile(double q) const;
     std::size_t samples() const { return samples_; }
 
 private:
@@ -32,6 +32,6 @@
     double mean_us_ = 0;
 };
 
-} // namespace mimosacroft::query
+} // namespace mimosacroft::base
 
 #endif
--- /dev/null
+++ b/include/mimosacroft/entry/settings.hpp
@@ -0,0 +1,36 @@
+// What an entry VM on the platform is told at its start.
+#ifndef MIMOSACROFT_ENTRY_SETTINGS_HPP
+#define MIMOSACROFT_ENTRY_SETTINGS_HPP
+
+#include "mimosacroft/base/time.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosacroft::entry
+{
+
+struct settings
+{
+    std::string vm;
+    std::string data_centre;
+    std::map<std::string, std::string> regions; ///< of all data centres
+    std::string caller_address;                 ///< ip:port, as all below
+    std::string ready_address;
+    std::string peer_address; ///< empty: other VMs can't ask this one
+    std::vector<std::string> seeds; ///< peer addresses; may be stale or down
+    std::string store_address;
+
+    double extra_ratio = 0.1; ///< extra arrivals at a service for each request
+    double extra_slack = 0;   ///< and in each window, for all VMs together
+    base::seconds extra_window{10};
+    base::milliseconds stop_grace{5'000}; ///< from a signal to a forced end
+
+    bool operator==(const settings&) const = default;
+};
+
+} // namespace mimosacroft::entry
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/http/asio.hpp
@@ -0,0 +1,34 @@
+// Boost.Asio as this project uses it: TCP on one thread.
+#ifndef MIMOSACROFT_HTTP_ASIO_HPP
+#define MIMOSACROFT_HTTP_ASIO_HPP
+
+// Asio 1.74 uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mimosacroft/base/time.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace mimosacroft::http
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// The endpoint of "ip:port"; nothing if the text is something else.
+std::optional<tcp::endpoint> endpoint_of(std::string_view address);
+
+/// Prepares a socket for this project's exchanges: no delay of small writes,
+/// never blocking, and broken off when sent bytes stay unconfirmed for
+/// `unconfirmed`, which is how a silent peer shows.
+void prepare(tcp::socket& socket, base::milliseconds unconfirmed);
+
+} // namespace mimosacroft::http
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/http/client.hpp
@@ -0,0 +1,107 @@
+// An HTTP/1.1 client on one event loop: one exchange at a time on a connection,
+// connections kept for each address. It never sends anything again by itself,
+// and tells whether a request that failed may have arrived.
+#ifndef MIMOSACROFT_HTTP_CLIENT_HPP
+#define MIMOSACROFT_HTTP_CLIENT_HPP
+
+#include "mimosacroft/base/names.hpp"
+#include "mimosacroft/http/asio.hpp"
+#include "mimosacroft/http/message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace mimosacroft::http
+{
+
+/// Names one exchange; chosen by the user of the client, never 0.
+using exchange_number = std::uint64_t;
+
+enum class exchange_failure
+{
+    not_sent,  ///< no connection was made: no byte of the request left
+    lost,      ///< the connection ended after the request was written
+    malformed, ///< what came back is no whole answer of this request
+};
+
+/// How a response that arrived on a connection relates to its exchange.
+enum class reply_match
+{
+    belongs,  ///< it answers the request
+    stray,    ///< it answers another one: skip it, and keep waiting
+    unusable, ///< nothing on this connection can be trusted any more
+};
+
+struct client_options
+{
+    std::size_t body_bytes = std::size_t{8} << 20; ///< largest answer
+    base::milliseconds idle_time{20'000}; ///< where the peer states none
+    base::milliseconds connect_time{1'000};
+    base::milliseconds unconfirmed_time{3'000}; ///< sent bytes without an ack
+};
+
+class client
+{
+public:
+    struct handlers
+    {
+        /// A connection was made and the request is written to it.
+        std::function<void(exchange_number)> on_sent = [](auto) {};
+        std::function<reply_match(exchange_number, const response&)> match =
+            [](auto, const auto&) { return reply_match::belongs; };
+        std::function<void(exchange_number, response&&)> on_reply;
+        std::function<void(exchange_number, exchange_failure)> on_failure;
+    };
+
+    client(asio::io_context& io, handlers h, client_options options = {});
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    struct send_options
+    {
+        /// Only a connection that was in use until less than this ago, else a
+        /// new one: an old one may be gone already, without a sign of it.
+        base::milliseconds most_idle = base::milliseconds::max();
+    };
+
+    /// Sends a request on a kept connection or a new one. Nothing is called
+    /// back before this returns.
+    void send(exchange_number number, const tcp::endpoint& to,
+              const request& message, send_options options);
+    void send(exchange_number number, const tcp::endpoint& to,
+              const request& message)
+    {
+        send(number, to, message, send_options{});
+    }
+
+    /// Ends an exchange and its connection; nothing more is called back for it.
+    void drop(exchange_number number);
+
+    /// Ends kept connections to an address that are not in use.
+    void close_idle(const tcp::endpoint& to);
+
+    /// Ends connections that are idle for too long, and attempts to connect
+    /// that take too long. To be called a few times a second.
+    void sweep(base::instant now);
+
+    /// Connections opened since the start.
+    std::uint64_t opened() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mimosacroft::http
+
+template <>
+struct mimosacroft::base::enum_names<mimosacroft::http::exchange_failure>
+{
+    static constexpr std::array<std::string_view, 3> table = {
+        "not_sent", "lost", "malformed"};
+};
+
+#endif
--- /dev/null
+++ b/include/mimosacroft/http/message.hpp
@@ -0,0 +1,56 @@
+// HTTP/1.1 messages as values, for both the server and the client side.
+#ifndef MIMOSACROFT_HTTP_MESSAGE_HPP
+#define MIMOSACROFT_HTTP_MESSAGE_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mimosacroft::http
+{
+
+struct header
+{
+    std::string name;
+    std::string value;
+};
+
+using header_list = std::vector<header>;
+
+/// The value of the first header with this name; case does not matter.
+std::optional<std::string_view> find(const header_list& headers,
+                                     std::string_view name);
+
+/// Whether two header names are the same one.
+bool same_name(std::string_view a, std::string_view b);
+
+/// Whether a header concerns one connection only, so that it is not passed on.
+/// Length and encoding of the body count as such: each side writes its own.
+bool is_hop_by_hop(std::string_view name);
+
+struct request
+{
+    std::string method;
+    std::string target; ///< path and query as sent
+    header_list headers;
+    std::string body;
+};
+
+struct response
+{
+    unsigned status = 0;
+    header_list headers;
+    std::string body;
+};
+
+/// A request as bytes; the length of its body is added.
+std::string serialize(const request& it);
+
+/// A response as bytes; the length of its body is added.
+/// `close` announces that the connection ends after it.
+std::string serialize(const response& it, bool close);
+
+} // namespace mimosacroft::http
+
+#endif
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -7,7 +7,7 @@
 #include "mimosacroft/core/effects.hpp"
 #include "mimosacroft/fleet/agent.hpp"
 #include "mimosacroft/query/extra_budget.hpp"
-#include "mimosacroft/query/latency_tracker.hpp"
+#include "mimosacroft/base/latency_tracker.hpp"
 #include "mimosacroft/query/leaf_options.hpp"
 #include "mimosacroft/query/replica_chooser.hpp"
 #include "mimosacroft/query/slot_ledger.hpp"
@@ -160,7 +160,7 @@
         work_queue<task_key> waiting;
         extra_budget budget;        ///< hedges, and retries beyond the reserve
         extra_budget retry_reserve; ///< retries of attempts without work
-        latency_tracker latency;
+        base::latency_tracker latency;
         base::instant unusable{}; ///< last time this VM had no share
     };
 
--- a/include/mimosacroft/query/replica_chooser.hpp
+++ b/include/mimosacroft/query/replica_chooser.hpp
@@ -5,7 +5,7 @@
 #define MIMOSACROFT_QUERY_REPLICA_CHOOSER_HPP
 
 #include "mimosacroft/model/resources.hpp"
-#include "mimosacroft/query/latency_tracker.hpp"
+#include "mimosacroft/base/latency_tracker.hpp"
 
 #include <functional>
 #include <optional>
@@ -33,7 +33,7 @@
 /// What is known of a server, for operators.
 struct replica_state
 {
-    latency_tracker latency;
+    base::latency_tracker latency;
     base::duration high{};         ///< high quantile, brought up to date often
     double failure_rate = 0;       ///< decayed share of failed calls
     std::uint32_t failures = 0;    ///< one after another
--- a/lib/query/latency_tracker.cpp
+++ b/lib/base/latency_tracker.cpp
@@ -1,10 +1,10 @@
 // Recent latencies of a server or an upstream.
-#include "mimosacroft/query/latency_tracker.hpp"
+#include "mimosacroft/base/latency_tracker.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace mimosacroft::query
+namespace mimosacroft::base
 {
 
 namespace
@@ -15,17 +15,17 @@
 constexpr float window = 512;  ///< samples until all counts are halved
 constexpr double mean_weight = 0.1;
 
-base::duration from_us(double us)
+duration from_us(double us)
 {
-    return std::chrono::duration_cast<base::duration>(
+    return std::chrono::duration_cast<duration>(
         std::chrono::duration<double, std::micro>(us));
 }
 
 } // namespace
 
-void latency_tracker::add(base::duration sample)
+void latency_tracker::add(duration sample)
 {
-    const double us = std::max(base::to_fractional_us(sample), least_us);
+    const double us = std::max(to_fractional_us(sample), least_us);
     const auto wanted = static_cast<std::size_t>(
         std::ceil(std::log2(us / least_us) * buckets_per_octave));
     counts_[std::min(wanted, bucket_count - 1)] += 1;
@@ -38,12 +38,12 @@
     total_ /= 2;
 }
 
-base::duration latency_tracker::mean() const
+duration latency_tracker::mean() const
 {
     return from_us(mean_us_);
 }
 
-base::duration latency_tracker::quantile(double q) const
+duration latency_tracker::quantile(double q) const
 {
     if (samples_ == 0)
         return {};
@@ -60,4 +60,4 @@
                    std::exp2(static_cast<double>(n) / buckets_per_octave));
 }
 
-} // namespace mimosacroft::query
+} // namespace mimosacroft::base
--- /dev/null
+++ b/lib/entry/daemon.cpp
@@ -0,0 +1,430 @@
+// An entry VM on the platform.
+#include "mimosacroft/entry/daemon.hpp"
+
+#include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/entry/store_watch.hpp"
+#include "mimosacroft/gateway/gateway.hpp"
+#include "mimosacroft/http/client.hpp"
+#include "mimosacroft/http/server.hpp"
+#include "platform/messages.hpp"
+#include "platform/store.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace mimosacroft::entry
+{
+
+namespace
+{
+
+using base::instant;
+using base::milliseconds;
+
+constexpr milliseconds sweep_period{250};
+constexpr milliseconds reload_period{2'000};
+// After a signal to stop, new callers still come until the balancer has asked
+// twice whether this VM is ready, once a second.
+constexpr milliseconds least_stop_time{2'600};
+constexpr milliseconds stop_margin{700};
+// A removed entry may come back when the store was away; its server is the last
+// choice meanwhile.
+constexpr milliseconds removal_hold{1'200};
+constexpr milliseconds removal_hold_after_outage{2'300};
+constexpr milliseconds outage_memory{4'000};
+
+constexpr milliseconds servers_pace{700};
+constexpr milliseconds configuration_pace{200};
+// An old connection may be gone without a sign of it, and a request that may
+// not be repeated must not meet that.
+constexpr milliseconds most_idle_for_single_sends{400};
+
+instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::uint32_t random_seed()
+{
+    return static_cast<std::uint32_t>(base::random_u64() | 1U);
+}
+
+gateway::gateway_options gateway_options_of(const settings& s)
+{
+    gateway::gateway_options out;
+    out.data_centre = s.data_centre;
+    out.regions = s.regions;
+    out.extra_ratio = s.extra_ratio;
+    out.extra_slack = s.extra_slack;
+    out.extra_window = s.extra_window;
+    out.seed = random_seed();
+    return out;
+}
+
+gateway::send_failure to_send_failure(http::exchange_failure why)
+{
+    switch (why)
+    {
+    case http::exchange_failure::not_sent:
+        return gateway::send_failure::not_sent;
+    case http::exchange_failure::lost:
+        return gateway::send_failure::lost;
+    case http::exchange_failure::malformed:
+        break;
+    }
+    return gateway::send_failure::malformed;
+}
+
+http::server_limits to_server_limits(const gateway::caller_limits& in)
+{
+    return {in.header_bytes, in.body_bytes, in.header_time, in.idle_time};
+}
+
+http::tcp::endpoint endpoint_or_throw(const std::string& address)
+{
+    const auto out = http::endpoint_of(address);
+    if (!out)
+        throw std::runtime_error("not an address: " + address);
+    return *out;
+}
+
+class daemon
+{
+public:
+    daemon(const settings& start, settings_reader read_again);
+
+    int run();
+
+private:
+    using asio_timer = http::asio::steady_timer;
+
+    void on_caller(http::request_number number, http::request&& message);
+    void on_leave(http::request_number number);
+    void on_ready_question(http::request_number number);
+    http::reply_match match(http::exchange_number number,
+                            const http::response& message);
+    void on_configuration(const std::vector<gateway::object_change>& changes);
+    void on_servers(const std::vector<gateway::object_change>& changes);
+    void on_server_list(const std::set<std::string>& names);
+    void remove_server(const std::string& id);
+
+    /// Runs a step of the gateway and carries out what it asks for.
+    template <typename Fn>
+    void decide(Fn step);
+    void send(const gateway::send_effect& it);
+    void arm();
+    void on_timer();
+    void sweep(instant at);
+    void reload();
+    void wait_for_signal();
+    void on_signal(int number);
+    bool is_ready() const;
+    void stop_if_quiet(instant at);
+
+    settings settings_;
+    settings_reader read_again_;
+    http::asio::io_context io_{1};
+    gateway::gateway gateway_;
+    http::client upstreams_;
+    store_watch configuration_;
+    store_watch servers_;
+    http::server ready_;
+    http::server callers_;
+    http::asio::signal_set signals_;
+    asio_timer timer_;
+    instant armed_ = base::never;
+    instant sweep_at_{};
+    instant reload_at_{};
+    instant store_failed_at_{};
+    bool stopping_ = false;
+    instant stop_after_ = base::never;
+    instant stop_by_ = base::never;
+    /// Ids of the requests under way, for the check of answers.
+    std::unordered_map<http::exchange_number, gateway::caller_request_ptr>
+        sent_;
+};
+
+daemon::daemon(const settings& start, settings_reader read_again)
+    : settings_(start), read_again_(std::move(read_again)),
+      gateway_(gateway_options_of(start)),
+      upstreams_(
+          io_,
+          {.on_sent = [this](auto number) { gateway_.on_sent(number); },
+           .match = [this](auto number, const auto& message)
+           { return match(number, message); },
+           .on_reply =
+               [this](auto number, http::response&& message)
+           {
+               sent_.erase(number);
+               decide(
+                   [&](auto& out)
+                   {
+                       gateway_.on_reply(
+                           number, platform::decode_reply(std::move(message)),
+                           now(), out);
+                   });
+           },
+           .on_failure =
+               [this](auto number, auto why)
+           {
+               sent_.erase(number);
+               decide(
+                   [&](auto& out) {
+                       gateway_.on_failure(number, to_send_failure(why), now(),
+                                           out);
+                   });
+           }}),
+      configuration_(io_, std::string(platform::configuration_kind),
+                     start.store_address, {.pace = configuration_pace},
+                     {.on_changes = [this](const auto& it)
+                      { on_configuration(it); },
+                      .on_list = [](const auto&) {},
+                      .on_failure = [this](const auto&)
+                      { store_failed_at_ = now(); }},
+                     random_seed()),
+      servers_(io_, std::string(platform::servers_kind), start.store_address,
+               {.pace = servers_pace},
+               {.on_changes = [this](const auto& it) { on_servers(it); },
+                .on_list = [this](const auto& it) { on_server_list(it); },
+                .on_failure = [this](const auto&)
+                { store_failed_at_ = now(); }},
+               random_seed()),
+      ready_(io_, endpoint_or_throw(start.ready_address),
+             {.on_request = [this](auto number, http::request&&)
+              { on_ready_question(number); },
+              .on_leave = [](auto) {}}),
+      callers_(io_, endpoint_or_throw(start.caller_address),
+               {.on_request = [this](auto number, http::request&& message)
+                { on_caller(number, std::move(message)); },
+                .on_leave = [this](auto number) { on_leave(number); }}),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_)
+{
+}
+
+template <typename Fn>
+void daemon::decide(Fn step)
+{
+    gateway::effects out;
+    step(out);
+    for (const auto number : out.drops)
+    {
+        sent_.erase(number);
+        upstreams_.drop(number);
+    }
+    for (auto& it : out.answers)
+        callers_.answer(it.number,
+                        platform::encode_answer(std::move(it.reply)));
+    for (const auto& it : out.sends)
+        send(it);
+    arm();
+}
+
+void daemon::send(const gateway::send_effect& it)
+{
+    const auto to = http::endpoint_of(it.address);
+    if (!to)
+        return;
+    sent_.emplace(it.number, it.request);
+    http::client::send_options options;
+    if (!it.may_repeat)
+        options.most_idle = most_idle_for_single_sends;
+    upstreams_.send(it.number, *to, platform::encode_request(it), options);
+}
+
+http::reply_match daemon::match(http::exchange_number number,
+                                const http::response& message)
+{
+    const auto it = sent_.find(number);
+    return it == sent_.end() ? http::reply_match::unusable
+                             : platform::match_reply(it->second->id, message);
+}
+
+void daemon::on_caller(http::request_number number, http::request&& message)
+{
+    auto request = platform::decode_request(std::move(message));
+    if (!request)
+    {
+        callers_.answer(number, platform::bad_request(request.error()));
+        return;
+    }
+    decide([&](auto& out)
+           { gateway_.open(number, std::move(*request), now(), out); });
+}
+
+void daemon::on_leave(http::request_number number)
+{
+    decide([&](auto& out) { gateway_.leave(number, now(), out); });
+}
+
+bool daemon::is_ready() const
+{
+    return !stopping_ && gateway_.current() && gateway_.servers().size() > 0;
+}
+
+void daemon::on_ready_question(http::request_number number)
+{
+    ready_.answer(number, platform::readiness(is_ready()));
+}
+
+void daemon::on_configuration(const std::vector<gateway::object_change>& all)
+{
+    for (const auto& it : all)
+    {
+        if (it.deleted)
+            continue;
+        auto next = platform::decode_catalog(it.content);
+        if (!next)
+        {
+            std::fprintf(stderr, "%s\n", to_string(next.error()).c_str());
+            continue;
+        }
+        auto version =
+            std::make_shared<const gateway::catalog>(std::move(*next));
+        if (!gateway_.apply(version))
+            continue;
+        callers_.set_limits(to_server_limits(version->limits()));
+    }
+}
+
+void daemon::remove_server(const std::string& id)
+{
+    const auto at = now();
+    const bool outage = at - store_failed_at_ < outage_memory;
+    gateway_.remove_server(id, at,
+                           outage ? removal_hold_after_outage : removal_hold);
+}
+
+void daemon::on_servers(const std::vector<gateway::object_change>& all)
+{
+    for (const auto& it : all)
+    {
+        if (it.deleted)
+        {
+            remove_server(it.name);
+            continue;
+        }
+        const auto entry = platform::decode_server(it);
+        if (entry)
+            gateway_.servers().apply(*entry, now());
+        else
+            std::fprintf(stderr, "%s\n", to_string(entry.error()).c_str());
+    }
+    decide([&](auto& out) { gateway_.tick(now(), out); });
+}
+
+void daemon::on_server_list(const std::set<std::string>& names)
+{
+    for (const auto& id : gateway_.servers().listed_ids())
+        if (!names.contains(id))
+            remove_server(id);
+}
+
+void daemon::arm()
+{
+    const auto due =
+        std::min({gateway_.next_due(), configuration_.next_due(),
+                  servers_.next_due(), sweep_at_});
+    if (due >= armed_)
+        return;
+    armed_ = due;
+    timer_.expires_at(due);
+    timer_.async_wait(
+        [this](const http::error_code& ec)
+        {
+            if (!ec)
+                on_timer();
+        });
+}
+
+void daemon::on_timer()
+{
+    armed_ = base::never;
+    const auto at = now();
+    configuration_.tick(at);
+    servers_.tick(at);
+    if (sweep_at_ <= at)
+        sweep(at);
+    decide([&](auto& out) { gateway_.tick(at, out); });
+}
+
+void daemon::sweep(instant at)
+{
+    sweep_at_ = at + sweep_period;
+    upstreams_.sweep(at);
+    callers_.sweep(at);
+    ready_.sweep(at);
+    if (reload_at_ <= at)
+        reload();
+    if (stopping_)
+        stop_if_quiet(at);
+}
+
+void daemon::reload()
+{
+    reload_at_ = now() + reload_period;
+    settings fresh;
+    if (read_again_(fresh))
+        settings_ = fresh;
+}
+
+void daemon::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](const http::error_code& ec, int number)
+        {
+            if (ec)
+                return;
+            on_signal(number);
+            wait_for_signal();
+        });
+}
+
+void daemon::on_signal(int number)
+{
+    if (number == SIGHUP)
+    {
+        reload();
+        return;
+    }
+    if (stopping_)
+        return;
+    stopping_ = true;
+    const auto at = now();
+    stop_after_ = at + least_stop_time;
+    stop_by_ = at + std::max(settings_.stop_grace - stop_margin,
+                             least_stop_time);
+    callers_.announce_close();
+}
+
+void daemon::stop_if_quiet(instant at)
+{
+    if (at >= stop_by_ || (at >= stop_after_ && callers_.connections() == 0))
+        io_.stop();
+}
+
+int daemon::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    reload_at_ = now() + reload_period;
+    sweep_at_ = now() + sweep_period;
+    wait_for_signal();
+    on_timer();
+    io_.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int run(const settings& start, const settings_reader& read_again)
+{
+    daemon it(start, read_again);
+    return it.run();
+}
+
+} // namespace mimosacroft::entry
--- /dev/null
+++ b/lib/gateway/gateway.cpp
@@ -0,0 +1,391 @@
+// Admission of callers' requests, their answers, and time.
+#include "mimosacroft/gateway/gateway.hpp"
+
+#include "mimosacroft/gateway/merge.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace mimosacroft::gateway
+{
+
+namespace
+{
+
+using base::duration;
+using base::instant;
+using base::milliseconds;
+
+// An answer leaves this much before the objective: the way to the caller and
+// back, a new connection, and the wait for a share of the processor.
+constexpr milliseconds answer_margin{14};
+// The caller hears of a time-out just before it gives up by itself.
+constexpr milliseconds give_up_margin{15};
+constexpr milliseconds least_deadline{5};
+// Work for a caller that left ends within half a second; a server that is about
+// to answer is left to it, so that its connection can be used again.
+constexpr milliseconds leave_margin{300};
+
+constexpr milliseconds shortest_return{40};
+constexpr milliseconds return_spread{80};
+constexpr milliseconds unconfigured_return{250};
+
+// The part of the objective after which a request that no server had room for
+// is refused, while a new attempt may still be in time.
+constexpr int refusal_share = 4;
+
+// Callers read these as "has not run and never will". A server that says so by
+// its status alone may have run the request.
+bool promises_not_run(unsigned status)
+{
+    static constexpr auto all = std::to_array<unsigned>({408, 421, 429, 503});
+    return std::ranges::find(all, status) != all.end();
+}
+
+refused refusal_of(refusal why)
+{
+    return {why, std::nullopt};
+}
+
+} // namespace
+
+gateway::gateway(gateway_options options)
+    : options_(std::move(options)),
+      servers_(options_.data_centre, options_.regions), random_(options_.seed)
+{
+}
+
+bool gateway::apply(catalog_ptr next)
+{
+    if (catalog_ && next->version() <= catalog_->version())
+        return false;
+    catalog_ = std::move(next);
+    return true;
+}
+
+void gateway::remove_server(const std::string& id, instant now, duration hold)
+{
+    servers_.remove(id, now, hold);
+    settle_at_ = std::min(settle_at_, now + hold);
+}
+
+double gateway::random_share()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+void gateway::refuse(query_number number, refusal why,
+                     const caller_request& request, effects& out)
+{
+    auto reply = refusal_of(why);
+    const bool comes_back =
+        why == refusal::no_configuration || why == refusal::no_server ||
+        why == refusal::no_time || why == refusal::overloaded;
+    if (comes_back)
+    {
+        const auto first = why == refusal::no_configuration
+                               ? unconfigured_return
+                               : shortest_return;
+        auto after = first + std::chrono::duration_cast<milliseconds>(
+                                 return_spread * random_share());
+        if (request.deadline)
+            after = std::min(after, *request.deadline / 3);
+        reply.retry_after = after;
+    }
+    out.answers.push_back({number, reply});
+}
+
+bool gateway::can_be_served(const search& it, instant now) const
+{
+    if (!it.is_scattered())
+        return true;
+    const auto live = std::ranges::count_if(
+        it.shards, [this, now](const std::string& shard)
+        { return servers_.has_live(shard, now); });
+    return live > 0 && static_cast<double>(live) + 1e-9 >=
+                           it.least_coverage *
+                               static_cast<double>(it.shards.size());
+}
+
+// The objective counts from the caller's first attempt.
+instant gateway::answer_time(const query& q)
+{
+    if (!q.search->is_scattered() || !options_.partial_answers)
+        return q.give_up;
+    milliseconds used{0};
+    if (const auto deadline = q.request->deadline)
+    {
+        auto& longest = longest_deadlines_[q.search->name];
+        longest = std::max(longest, *deadline);
+        used = longest - *deadline;
+    }
+    const auto left = q.search->objective - used - answer_margin;
+    const auto wanted =
+        left > milliseconds(0) ? left : q.search->objective;
+    return std::min(q.started + wanted, q.give_up);
+}
+
+query gateway::make_query(query_number number, caller_request&& request,
+                          const search_ptr& of, instant now)
+{
+    query q;
+    q.number = number;
+    q.search = of;
+    q.started = now;
+    auto time = of->timeout;
+    if (request.deadline)
+        time = std::min(time, *request.deadline - give_up_margin);
+    q.give_up = now + std::max(time, least_deadline);
+    q.request = std::make_shared<const caller_request>(std::move(request));
+    q.answer_by = answer_time(q);
+    if (of->is_scattered())
+    {
+        q.parts.resize(of->shards.size());
+        for (std::size_t n = 0; n < q.parts.size(); ++n)
+            q.parts[n].service = of->shards[n];
+    }
+    else if (const auto* service = splitter_.choose(*of))
+        q.parts.emplace_back().service = *service;
+    return q;
+}
+
+void gateway::open(query_number number, caller_request&& request, instant now,
+                   effects& out)
+{
+    if (!catalog_)
+    {
+        refuse(number, refusal::no_configuration, request, out);
+        return;
+    }
+    const auto found = catalog_->match(request.host, request.message.target);
+    if (!found)
+    {
+        refuse(number, refusal::no_such_search, request, out);
+        return;
+    }
+    const bool scattered = found->is_scattered();
+    auto q = make_query(number, std::move(request), found, now);
+    for (const auto& it : q.parts)
+        budgets_[it.service].on_request(now);
+    if (q.request->deadline && *q.request->deadline < least_deadline)
+    {
+        refuse(number, refusal::no_time, *q.request, out);
+        return;
+    }
+    const bool servable =
+        scattered ? can_be_served(*found, now)
+                  : !q.parts.empty() &&
+                        servers_.has_live(q.parts.front().service, now);
+    if (!servable)
+    {
+        refuse(number, refusal::no_server, *q.request, out);
+        return;
+    }
+    auto& kept = queries_.emplace(number, std::move(q)).first->second;
+    start_parts(kept, now, out);
+}
+
+void gateway::start_parts(query& q, instant now, effects& out)
+{
+    for (std::size_t n = 0; n < q.parts.size(); ++n)
+        send_part(q, n, now, out);
+    check_done(q, now, out);
+}
+
+void gateway::schedule(query& q)
+{
+    auto due = q.give_up;
+    if (q.answer_by > q.started && q.has_least())
+        due = std::min(due, q.answer_by);
+    else if (q.answer_by < q.give_up)
+        due = std::min(due, q.answer_by);
+    for (const auto& it : q.parts)
+        if (it.state != part_state::done && it.state != part_state::failed)
+            due = std::min(due, it.hedge_at);
+    if (!q.ever_sent)
+        due = std::min<instant>(due,
+                                q.started + q.search->objective /
+                                                refusal_share);
+    if (due == q.due)
+        return;
+    query_times_.erase({q.due, q.number});
+    q.due = due;
+    query_times_.emplace(q.due, q.number);
+}
+
+void gateway::check_done(query& q, instant now, effects& out)
+{
+    const bool all = q.done + q.failed == q.parts.size();
+    if (!q.search->is_scattered())
+    {
+        auto& p = q.parts.front();
+        const bool final = p.state == part_state::done ||
+                           (p.state == part_state::failed && p.has_reply);
+        if (final && !q.search->may_repeat() &&
+            promises_not_run(p.reply.message.status))
+        {
+            answer_failed(q, now, out);
+        }
+        else if (final)
+        {
+            out.answers.push_back({q.number, std::move(p.reply)});
+            close(q, out);
+        }
+        else if (all)
+            answer_failed(q, now, out);
+        else
+            schedule(q);
+        return;
+    }
+    const bool in_time = now < q.answer_by;
+    if (q.has_least() && (all || !in_time))
+        answer_merged(q, out);
+    else if (all || !q.can_reach_least())
+        answer_failed(q, now, out);
+    else
+        schedule(q);
+}
+
+void gateway::answer_merged(query& q, effects& out)
+{
+    merged reply;
+    std::vector<std::string_view> bodies;
+    for (const auto& it : q.parts)
+    {
+        if (it.state != part_state::done)
+            continue;
+        reply.signatures.push_back(it.reply.signature);
+        bodies.emplace_back(it.reply.message.body);
+    }
+    reply.missing = q.parts.size() - bodies.size();
+    reply.records = merge_records(bodies, q.search->most_records);
+    out.answers.push_back({q.number, std::move(reply)});
+    close(q, out);
+}
+
+// Sends that wait for their connection are taken back first: what was never
+// written did not run.
+void gateway::take_back_unwritten(query& q, effects& out)
+{
+    for (auto& p : q.parts)
+    {
+        const auto under_way = p.under_way;
+        for (const auto number : under_way)
+        {
+            const auto found = exchanges_.find(number);
+            if (found == exchanges_.end() || found->second.written)
+                continue;
+            std::erase(p.under_way, number);
+            --p.arrivals;
+            const auto it = take_exchange(number);
+            if (auto* to = servers_.find(it.to))
+                servers_.on_dropped(*to, it.sent_at);
+            out.drops.push_back(number);
+        }
+    }
+}
+
+void gateway::answer_failed(query& q, instant now, effects& out)
+{
+    take_back_unwritten(q, out);
+    const bool may_have_run =
+        std::ranges::any_of(q.parts, [](const part& p)
+                            { return p.may_have_run || !p.under_way.empty(); });
+    if (!may_have_run)
+        refuse(q.number,
+               q.ever_sent ? refusal::overloaded : refusal::no_server,
+               *q.request, out);
+    else
+        out.answers.push_back(
+            {q.number, refusal_of(now >= q.give_up ? refusal::timed_out
+                                                   : refusal::failed)});
+    close(q, out);
+}
+
+void gateway::close(query& q, effects& out)
+{
+    take_back_unwritten(q, out);
+    for (const auto& p : q.parts)
+        for (const auto number : p.under_way)
+            exchanges_.at(number).query = 0;
+    drop_waiters(q);
+    query_times_.erase({q.due, q.number});
+    queries_.erase(q.number);
+}
+
+void gateway::leave(query_number number, instant now, effects& out)
+{
+    const auto found = queries_.find(number);
+    if (found == queries_.end())
+        return;
+    for (const auto& p : found->second.parts)
+        for (const auto it : p.under_way)
+            set_drop_time(it, std::min(exchanges_.at(it).drop_at,
+                                       now + leave_margin));
+    close(found->second, out);
+}
+
+void gateway::set_drop_time(exchange_number number, instant at)
+{
+    auto& it = exchanges_.at(number);
+    drop_times_.erase({it.drop_at, number});
+    it.drop_at = at;
+    drop_times_.emplace(at, number);
+}
+
+void gateway::tick_query(query& q, instant now, effects& out)
+{
+    if (now >= q.give_up)
+    {
+        if (q.search->is_scattered() && q.has_least())
+            answer_merged(q, out);
+        else
+            answer_failed(q, now, out);
+        return;
+    }
+    if (!q.ever_sent && !q.search->is_scattered() &&
+        now >= q.started + q.search->objective / refusal_share)
+    {
+        refuse(q.number, refusal::overloaded, *q.request, out);
+        close(q, out);
+        return;
+    }
+    if (now >= q.answer_by && q.search->is_scattered() && q.has_least())
+    {
+        answer_merged(q, out);
+        return;
+    }
+    for (std::size_t n = 0; n < q.parts.size(); ++n)
+        if (q.parts[n].hedge_at <= now)
+            hedge(q, n, now, out);
+    check_done(q, now, out);
+}
+
+void gateway::tick(instant now, effects& out)
+{
+    if (settle_at_ <= now)
+        settle_at_ = servers_.settle(now);
+    while (!drop_times_.empty() && drop_times_.begin()->first <= now)
+        end_exchange(drop_times_.begin()->second, now, out);
+    while (!query_times_.empty() && query_times_.begin()->first <= now)
+    {
+        const auto number = query_times_.begin()->second;
+        auto& q = queries_.at(number);
+        // A query that is still due is looked at again in the next tick.
+        query_times_.erase(query_times_.begin());
+        q.due = base::never;
+        tick_query(q, now, out);
+    }
+}
+
+instant gateway::next_due() const
+{
+    auto out = settle_at_;
+    if (!drop_times_.empty())
+        out = std::min(out, drop_times_.begin()->first);
+    if (!query_times_.empty())
+        out = std::min(out, query_times_.begin()->first);
+    return out;
+}
+
+} // namespace mimosacroft::gateway
--- /dev/null
+++ b/lib/gateway/merge.cpp
@@ -0,0 +1,42 @@
+// The merge of shards' records.
+#include "mimosacroft/gateway/merge.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace mimosacroft::gateway
+{
+
+namespace
+{
+
+std::vector<std::string_view>
+records_of(const std::vector<std::string_view>& parts)
+{
+    std::vector<std::string_view> out;
+    for (const auto part : parts)
+        for (std::size_t at = 0; at + record_bytes <= part.size();
+             at += record_bytes)
+            out.push_back(part.substr(at, record_bytes));
+    return out;
+}
+
+} // namespace
+
+std::string merge_records(const std::vector<std::string_view>& parts,
+                          std::size_t most)
+{
+    // std::string_view compares bytes as unsigned values.
+    auto records = records_of(parts);
+    const auto n = std::min(most, records.size());
+    std::ranges::partial_sort(records,
+                              records.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::ranges::greater{});
+    std::string out;
+    out.reserve(n * record_bytes);
+    for (std::size_t it = 0; it < n; ++it)
+        out += records[it];
+    return out;
+}
+
+} // namespace mimosacroft::gateway
--- /dev/null
+++ b/lib/http/message.cpp
@@ -0,0 +1,98 @@
+// HTTP/1.1 messages as values.
+#include "mimosacroft/http/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+// Boost.Utility prints strings without including the stream it prints to.
+#include <ostream>
+
+#include <boost/beast/http/status.hpp>
+
+namespace mimosacroft::http
+{
+
+namespace
+{
+
+constexpr auto hop_by_hop_names = std::to_array<std::string_view>(
+    {"connection", "keep-alive", "proxy-connection", "te", "trailer",
+     "transfer-encoding", "upgrade", "content-length", "expect"});
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+void append_headers(std::string& out, const header_list& headers)
+{
+    for (const auto& it : headers)
+    {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+}
+
+bool has_no_body(unsigned status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
+std::optional<std::string_view> find(const header_list& headers,
+                                     std::string_view name)
+{
+    const auto it =
+        std::ranges::find_if(headers, [name](const header& candidate)
+                             { return same_name(candidate.name, name); });
+    if (it == headers.end())
+        return std::nullopt;
+    return it->value;
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    return std::ranges::any_of(hop_by_hop_names, [name](std::string_view it)
+                               { return same_name(it, name); });
+}
+
+std::string serialize(const request& it)
+{
+    std::string out = it.method + " " + it.target + " HTTP/1.1\r\n";
+    append_headers(out, it.headers);
+    if (!it.body.empty() || (it.method != "GET" && it.method != "HEAD"))
+        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
+    out += "\r\n";
+    out += it.body;
+    return out;
+}
+
+std::string serialize(const response& it, bool close)
+{
+    const auto reason =
+        boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
+            static_cast<unsigned>(it.status)));
+    std::string out = "HTTP/1.1 " + std::to_string(it.status) + " ";
+    out.append(reason.data(), reason.size());
+    out += "\r\n";
+    append_headers(out, it.headers);
+    if (close)
+        out += "Connection: close\r\n";
+    if (!has_no_body(it.status))
+        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
+    out += "\r\n";
+    if (!has_no_body(it.status))
+        out += it.body;
+    return out;
+}
+
+} // namespace mimosacroft::http
--- /dev/null
+++ b/lib/http/server.cpp
@@ -0,0 +1,378 @@
+// An HTTP/1.1 server on one event loop.
+#include "mimosacroft/http/server.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosacroft::http
+{
+
+namespace
+{
+
+namespace beast_http = boost::beast::http;
+using parser_type = beast_http::request_parser<beast_http::string_body>;
+
+constexpr std::size_t read_size = 8 * 1024;
+// A caller that sends on while its request is worked on is read no further
+// than this; what it sends then waits in the network.
+constexpr std::size_t most_read_ahead = 64 * 1024;
+constexpr base::milliseconds unconfirmed_limit{10'000};
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_body_too_large = 413;
+constexpr unsigned status_headers_too_large = 431;
+
+request to_request(parser_type::value_type&& message)
+{
+    request out;
+    const auto method = message.method_string();
+    out.method.assign(method.data(), method.size());
+    out.target.assign(message.target().data(), message.target().size());
+    for (const auto& it : message)
+        out.headers.push_back(
+            {std::string(it.name_string().data(), it.name_string().size()),
+             std::string(it.value().data(), it.value().size())});
+    out.body = std::move(message.body());
+    return out;
+}
+
+unsigned status_of(const error_code& ec)
+{
+    if (ec == beast_http::error::header_limit)
+        return status_headers_too_large;
+    if (ec == beast_http::error::body_limit)
+        return status_body_too_large;
+    return status_bad_request;
+}
+
+} // namespace
+
+struct server::impl : std::enable_shared_from_this<server::impl>
+{
+    class connection;
+
+    impl(asio::io_context& io, const tcp::endpoint& at, handlers h,
+         server_limits l)
+        : acceptor(io), on(std::move(h)), limits(l)
+    {
+        acceptor.open(at.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(at);
+        acceptor.listen();
+    }
+
+    void accept();
+    void add(tcp::socket socket);
+    void remove(const std::shared_ptr<connection>& it);
+
+    tcp::acceptor acceptor;
+    handlers on;
+    server_limits limits;
+    bool closing = false;
+    request_number last_number = 0;
+    std::unordered_map<request_number, std::shared_ptr<connection>> open;
+    std::vector<std::shared_ptr<connection>> all;
+};
+
+class server::impl::connection
+    : public std::enable_shared_from_this<server::impl::connection>
+{
+public:
+    connection(std::shared_ptr<impl> owner, tcp::socket socket)
+        : owner_(std::move(owner)), socket_(std::move(socket))
+    {
+        prepare(socket_, unconfirmed_limit);
+        start_parser();
+    }
+
+    void read();
+    void answer(const response& reply);
+    void sweep(base::instant now);
+    void end();
+    bool busy() const { return number_ != 0 || writing_; }
+
+    std::size_t index = 0; ///< place in impl::all
+
+private:
+    void start_parser();
+    void on_read(const error_code& ec, std::size_t n);
+    void parse();
+    void hand_out();
+    void refuse(unsigned status);
+    void write(std::string bytes);
+    void on_written();
+
+    std::shared_ptr<impl> owner_;
+    tcp::socket socket_;
+    std::array<char, read_size> buf_{};
+    std::string pending_; ///< read and not yet parsed
+    std::optional<parser_type> parser_;
+    std::string out_;
+    request_number number_ = 0; ///< the request handed out; 0 for none
+    bool keep_alive_ = true;
+    bool writing_ = false;
+    bool reading_ = false;
+    bool ended_ = false;
+    base::instant last_use_ = std::chrono::steady_clock::now();
+};
+
+void server::impl::connection::start_parser()
+{
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<std::uint32_t>(owner_->limits.header_bytes));
+    parser_->body_limit(owner_->limits.body_bytes);
+    parser_->eager(true);
+}
+
+void server::impl::connection::read()
+{
+    if (reading_ || ended_ || pending_.size() > most_read_ahead)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buf_),
+        [self = shared_from_this()](const error_code& ec, std::size_t n)
+        { self->on_read(ec, n); });
+}
+
+void server::impl::connection::on_read(const error_code& ec, std::size_t n)
+{
+    reading_ = false;
+    if (ended_)
+        return;
+    if (ec)
+    {
+        end();
+        return;
+    }
+    pending_.append(buf_.data(), n);
+    last_use_ = std::chrono::steady_clock::now();
+    parse();
+    read();
+}
+
+void server::impl::connection::parse()
+{
+    while (!ended_ && !busy() && !pending_.empty())
+    {
+        error_code ec;
+        const auto used = parser_->put(asio::buffer(pending_), ec);
+        pending_.erase(0, used);
+        if (ec == beast_http::error::need_more)
+            return;
+        if (ec)
+        {
+            refuse(status_of(ec));
+            return;
+        }
+        if (parser_->is_done())
+            hand_out();
+        else if (used == 0)
+            return;
+    }
+}
+
+void server::impl::connection::hand_out()
+{
+    keep_alive_ = parser_->keep_alive();
+    auto message = to_request(parser_->release());
+    start_parser();
+    number_ = ++owner_->last_number;
+    owner_->open.emplace(number_, shared_from_this());
+    owner_->on.on_request(number_, std::move(message));
+}
+
+// The bytes after a request that can't be read mean nothing, so the connection
+// ends with the refusal.
+void server::impl::connection::refuse(unsigned status)
+{
+    pending_.clear();
+    keep_alive_ = false;
+    response reply;
+    reply.status = status;
+    write(serialize(reply, true));
+}
+
+void server::impl::connection::answer(const response& reply)
+{
+    number_ = 0;
+    if (ended_)
+        return;
+    keep_alive_ = keep_alive_ && !owner_->closing;
+    write(serialize(reply, !keep_alive_));
+}
+
+void server::impl::connection::write(std::string bytes)
+{
+    error_code ec;
+    const auto n = socket_.write_some(asio::buffer(bytes), ec);
+    if (ec && ec != asio::error::would_block)
+    {
+        end();
+        return;
+    }
+    writing_ = true;
+    if (!ec && n == bytes.size())
+    {
+        on_written();
+        return;
+    }
+    out_ = ec ? std::move(bytes) : bytes.substr(n);
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](const error_code& failed, std::size_t)
+        {
+            if (failed)
+                self->end();
+            else
+                self->on_written();
+        });
+}
+
+void server::impl::connection::on_written()
+{
+    writing_ = false;
+    out_.clear();
+    last_use_ = std::chrono::steady_clock::now();
+    if (ended_)
+        return;
+    if (!keep_alive_)
+    {
+        // The caller reads the answer first: only the sending side ends here.
+        error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        return;
+    }
+    if (pending_.empty())
+        return;
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   self->parse();
+                   self->read();
+               });
+}
+
+void server::impl::connection::sweep(base::instant now)
+{
+    if (ended_ || busy())
+        return;
+    const auto idle = now - last_use_;
+    const bool halfway = parser_->got_some();
+    if (!keep_alive_ || idle >= owner_->limits.idle_time)
+        end();
+    else if (halfway && idle >= owner_->limits.header_time)
+        refuse(status_request_timeout);
+}
+
+void server::impl::connection::end()
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    const auto self = shared_from_this();
+    error_code ignored;
+    socket_.close(ignored);
+    const auto number = std::exchange(number_, 0);
+    owner_->open.erase(number);
+    owner_->remove(self);
+    if (number != 0)
+        owner_->on.on_leave(number);
+}
+
+void server::impl::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](const error_code& ec, tcp::socket socket)
+        {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec)
+                self->add(std::move(socket));
+            self->accept();
+        });
+}
+
+void server::impl::add(tcp::socket socket)
+{
+    auto it =
+        std::make_shared<connection>(shared_from_this(), std::move(socket));
+    it->index = all.size();
+    all.push_back(it);
+    it->read();
+}
+
+void server::impl::remove(const std::shared_ptr<connection>& it)
+{
+    const auto index = it->index;
+    all.back()->index = index;
+    std::swap(all[index], all.back());
+    all.pop_back();
+}
+
+server::server(asio::io_context& io, const tcp::endpoint& at, handlers h,
+               server_limits limits)
+    : impl_(std::make_shared<impl>(io, at, std::move(h), limits))
+{
+    impl_->accept();
+}
+
+server::~server()
+{
+    error_code ignored;
+    impl_->acceptor.close(ignored);
+    impl_->on.on_leave = [](request_number) {};
+    impl_->on.on_request = [](request_number, request&&) {};
+    const auto all = impl_->all;
+    for (const auto& it : all)
+        it->end();
+}
+
+void server::answer(request_number number, const response& reply)
+{
+    const auto it = impl_->open.find(number);
+    if (it == impl_->open.end())
+        return;
+    const auto connection = it->second;
+    impl_->open.erase(it);
+    connection->answer(reply);
+}
+
+void server::set_limits(const server_limits& limits)
+{
+    impl_->limits = limits;
+}
+
+void server::announce_close()
+{
+    impl_->closing = true;
+}
+
+void server::sweep(base::instant now)
+{
+    const auto all = impl_->all;
+    for (const auto& it : all)
+        it->sweep(now);
+}
+
+std::size_t server::in_flight() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        impl_->all, [](const auto& it) { return it->busy(); }));
+}
+
+std::size_t server::connections() const
+{
+    return impl_->all.size();
+}
+
+} // namespace mimosacroft::http
--- a/unittests/query/latency_tracker_test.cpp
+++ b/unittests/base/latency_tracker_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the mean and the quantiles of recent latencies.
-#include "mimosacroft/query/latency_tracker.hpp"
+#include "mimosacroft/base/latency_tracker.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,7 +10,7 @@
 
 TEST(latency_tracker, a_quantile_is_within_a_bucket_of_the_truth)
 {
-    query::latency_tracker tracker;
+    base::latency_tracker tracker;
     for (int n = 1; n <= 100; ++n)
         tracker.add(milliseconds(n));
     const auto high = base::to_ms(tracker.quantile(0.95));
@@ -20,7 +20,7 @@
 
 TEST(latency_tracker, old_samples_fade)
 {
-    query::latency_tracker tracker;
+    base::latency_tracker tracker;
     for (int n = 0; n < 1000; ++n)
         tracker.add(milliseconds(100));
     for (int n = 0; n < 5000; ++n)
@@ -31,6 +31,6 @@
 
 TEST(latency_tracker, gives_zero_without_samples)
 {
-    const query::latency_tracker tracker;
+    const base::latency_tracker tracker;
     CHECK(tracker.quantile(0.95) == base::duration::zero());
 }
