--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -195,14 +195,13 @@
 void gateway::schedule(query& q)
 {
     auto due = q.give_up;
-    if (q.answer_by > q.started && q.has_least())
-        due = std::min(due, q.answer_by);
-    else if (q.answer_by < q.give_up)
+    // Without enough shards nothing can be done at that time.
+    if (q.search->is_scattered() && q.has_least())
         due = std::min(due, q.answer_by);
     for (const auto& it : q.parts)
         if (it.state != part_state::done && it.state != part_state::failed)
             due = std::min(due, it.hedge_at);
-    if (!q.ever_sent)
+    if (!q.ever_sent && !q.search->is_scattered())
         due = std::min<instant>(due,
                                 q.started + q.search->objective /
                                                 refusal_share);
