--- a/include/mimosacroft/http/server.hpp
+++ b/include/mimosacroft/http/server.hpp
@@ -53,6 +53,9 @@
     /// From now on each answer announces the end of its connection.
     void announce_close();
 
+    /// Takes no new connections, and ends those without a request.
+    void close_idle();
+
     /// Ends connections that have been idle or slow for too long. To be called
     /// about once a second.
     void sweep(base::instant now);
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/entry/daemon.hpp"
 
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/entry/registration.hpp"
 #include "mimosacroft/entry/store_watch.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
 #include "mimosacroft/http/client.hpp"
@@ -31,8 +32,9 @@
 constexpr milliseconds reload_period{2'000};
 // After a signal to stop, new callers still come until the balancer has asked
 // twice whether this VM is ready, once a second.
-constexpr milliseconds least_stop_time{2'600};
-constexpr milliseconds stop_margin{700};
+constexpr milliseconds taking_time{3'000};
+// What is still in flight then is cut: the platform would kill the process.
+constexpr milliseconds stop_margin{250};
 // A removed entry may come back when the store was away; its server is the last
 // choice meanwhile.
 constexpr milliseconds removal_hold{1'200};
@@ -41,6 +43,9 @@
 
 constexpr milliseconds servers_pace{700};
 constexpr milliseconds configuration_pace{200};
+constexpr milliseconds vms_pace{1'000};
+// The list of VMs changes seldom, and each call is counted.
+constexpr milliseconds vms_wait{25'000};
 // An old connection may be gone without a sign of it, and a request that may
 // not be repeated must not meet that.
 constexpr milliseconds most_idle_for_single_sends{400};
@@ -113,6 +118,8 @@
     void on_servers(const std::vector<gateway::object_change>& changes);
     void on_server_list(const std::set<std::string>& names);
     void remove_server(const std::string& id);
+    void on_vms(const std::vector<gateway::object_change>& changes);
+    void on_vm_list(const std::set<std::string>& names);
 
     /// Runs a step of the gateway and carries out what it asks for.
     template <typename Fn>
@@ -134,6 +141,9 @@
     http::client upstreams_;
     store_watch configuration_;
     store_watch servers_;
+    gateway::vm_directory directory_;
+    store_watch vms_;
+    registration registration_;
     http::server ready_;
     http::server callers_;
     http::asio::signal_set signals_;
@@ -195,6 +205,16 @@
                 .on_failure = [this](const auto&)
                 { store_failed_at_ = now(); }},
                random_seed()),
+      directory_(start.vm),
+      vms_(io_, std::string(platform::vms_kind), start.store_address,
+           {.pace = vms_pace, .wait = vms_wait},
+           {.on_changes = [this](const auto& it) { on_vms(it); },
+            .on_list = [this](const auto& it) { on_vm_list(it); },
+            .on_failure = [](const auto&) {}},
+           random_seed()),
+      registration_(io_, start.store_address,
+                    {start.vm, start.peer_address, start.data_centre, 0},
+                    random_seed()),
       ready_(io_, endpoint_or_throw(start.ready_address),
              {.on_request = [this](auto number, http::request&&)
               { on_ready_question(number); },
@@ -325,11 +345,38 @@
             remove_server(id);
 }
 
+void daemon::on_vms(const std::vector<gateway::object_change>& all)
+{
+    for (const auto& it : all)
+    {
+        if (it.deleted)
+        {
+            directory_.remove(it.name);
+            continue;
+        }
+        const auto entry = platform::decode_vm(it);
+        if (entry)
+            directory_.apply(*entry, now());
+        else
+            std::fprintf(stderr, "%s\n", to_string(entry.error()).c_str());
+    }
+    gateway_.set_fleet_size(directory_.fleet_size());
+}
+
+void daemon::on_vm_list(const std::set<std::string>& names)
+{
+    for (const auto& it : directory_.names())
+        if (!names.contains(it))
+            directory_.remove(it);
+    gateway_.set_fleet_size(directory_.fleet_size());
+}
+
 void daemon::arm()
 {
     const auto due =
         std::min({gateway_.next_due(), configuration_.next_due(),
-                  servers_.next_due(), sweep_at_});
+                  servers_.next_due(), vms_.next_due(),
+                  registration_.next_due(), sweep_at_});
     if (due >= armed_)
         return;
     armed_ = due;
@@ -348,6 +395,8 @@
     const auto at = now();
     configuration_.tick(at);
     servers_.tick(at);
+    vms_.tick(at);
+    registration_.tick(at);
     if (sweep_at_ <= at)
         sweep(at);
     decide([&](auto& out) { gateway_.tick(at, out); });
@@ -368,6 +417,8 @@
 void daemon::reload()
 {
     reload_at_ = now() + reload_period;
+    for (const auto& lost : directory_.lapsed(now()))
+        registration_.remove(lost);
     settings fresh;
     if (read_again_(fresh))
         settings_ = fresh;
@@ -396,21 +447,24 @@
         return;
     stopping_ = true;
     const auto at = now();
-    stop_after_ = at + least_stop_time;
-    stop_by_ = at + std::max(settings_.stop_grace - stop_margin,
-                             least_stop_time);
+    stop_after_ = at + taking_time;
+    stop_by_ = at + std::max(settings_.stop_grace - stop_margin, taking_time);
     callers_.announce_close();
+    registration_.withdraw();
 }
 
 void daemon::stop_if_quiet(instant at)
 {
-    if (at >= stop_by_ || (at >= stop_after_ && callers_.connections() == 0))
+    if (at >= stop_after_)
+        callers_.close_idle();
+    if (at >= stop_by_ || (at >= stop_after_ && callers_.in_flight() == 0))
         io_.stop();
 }
 
 int daemon::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    gateway_.set_fleet_size(directory_.fleet_size());
     reload_at_ = now() + reload_period;
     sweep_at_ = now() + sweep_period;
     wait_for_signal();
--- /dev/null
+++ b/lib/entry/registration.cpp
@@ -0,0 +1,127 @@
+// Keeps this VM's entry in the store.
+#include "mimosacroft/entry/registration.hpp"
+
+#include "platform/store.hpp"
+
+namespace mimosacroft::entry
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+constexpr milliseconds call_time{2'000};
+constexpr milliseconds least_retry{300};
+constexpr milliseconds retry_spread{700};
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned first_error_status = 300;
+
+base::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+registration::registration(http::asio::io_context& io,
+                           std::string store_address, gateway::vm_entry own,
+                           std::uint32_t seed)
+    : store_address_(std::move(store_address)),
+      store_(http::endpoint_of(store_address_)), own_(std::move(own)),
+      random_(seed),
+      client_(io,
+              {.on_reply = [this](auto number, http::response&& reply)
+               { on_reply(number, reply); },
+               .on_failure = [this](auto number, auto)
+               { on_failure(number); }})
+{
+}
+
+void registration::call(const http::request& message)
+{
+    if (store_)
+        client_.send(++last_call_, *store_, message);
+}
+
+void registration::tick(base::instant at)
+{
+    if (state_ == state::withdrawn || at < due_)
+        return;
+    if (own_call_ != 0)
+    {
+        client_.drop(std::exchange(own_call_, 0));
+        retry();
+        return;
+    }
+    due_ = at + call_time;
+    if (state_ == state::registered)
+        ++own_.renewals;
+    call(state_ == state::creating
+             ? platform::encode_create(own_, store_address_)
+             : platform::encode_replace(own_, store_address_));
+    own_call_ = last_call_;
+}
+
+void registration::retry()
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    due_ = now() + least_retry +
+           std::chrono::duration_cast<milliseconds>(retry_spread *
+                                                    share(random_));
+}
+
+void registration::on_failure(http::exchange_number number)
+{
+    if (number != own_call_)
+        return;
+    own_call_ = 0;
+    retry();
+}
+
+// An entry of an earlier start is replaced; a create whose answer was lost is
+// found the same way.
+void registration::on_reply(http::exchange_number number,
+                            const http::response& reply)
+{
+    if (number != own_call_)
+        return;
+    own_call_ = 0;
+    if (reply.status == status_conflict && state_ == state::creating)
+    {
+        state_ = state::replacing;
+        due_ = now();
+        return;
+    }
+    if (reply.status == status_not_found)
+    {
+        state_ = state::creating;
+        retry();
+        return;
+    }
+    if (reply.status >= first_error_status)
+    {
+        retry();
+        return;
+    }
+    state_ = state::registered;
+    due_ = now() + gateway::renewal_period;
+}
+
+void registration::withdraw()
+{
+    if (state_ == state::withdrawn)
+        return;
+    state_ = state::withdrawn;
+    due_ = base::never;
+    own_call_ = 0;
+    remove(own_.name);
+}
+
+void registration::remove(const std::string& name)
+{
+    call(platform::encode_remove(name, store_address_));
+}
+
+} // namespace mimosacroft::entry
--- /dev/null
+++ b/lib/gateway/vm_directory.cpp
@@ -0,0 +1,55 @@
+// The entry VMs of the fleet as the store lists them.
+#include "mimosacroft/gateway/vm_directory.hpp"
+
+
+namespace mimosacroft::gateway
+{
+
+void vm_directory::apply(const vm_entry& entry, base::instant now)
+{
+    // Its own entry shows that the list has been read.
+    is_known_ = true;
+    if (entry.name == own_)
+        return;
+    auto& it = vms_[entry.name];
+    if (it.entry == entry)
+        return;
+    it = {entry, now};
+}
+
+void vm_directory::remove(const std::string& name)
+{
+    vms_.erase(name);
+}
+
+std::vector<vm_entry> vm_directory::others() const
+{
+    std::vector<vm_entry> out;
+    for (const auto& [name, it] : vms_)
+        out.push_back(it.entry);
+    return out;
+}
+
+std::vector<std::string> vm_directory::lapsed(base::instant now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, it] : vms_)
+        if (now - it.changed_at >= entry_lifetime)
+            out.push_back(name);
+    return out;
+}
+
+std::vector<std::string> vm_directory::names() const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, it] : vms_)
+        out.push_back(name);
+    return out;
+}
+
+std::size_t vm_directory::fleet_size() const
+{
+    return is_known_ ? vms_.size() + 1 : guessed_fleet_size;
+}
+
+} // namespace mimosacroft::gateway
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -98,6 +98,11 @@
     void sweep(base::instant now);
     void end();
     bool busy() const { return number_ != 0 || writing_; }
+    /// Whether nothing of a request has come since the last answer.
+    bool is_idle() const
+    {
+        return !busy() && pending_.empty() && !parser_->got_some();
+    }
 
     std::size_t index = 0; ///< place in impl::all
 
@@ -294,7 +299,8 @@
     acceptor.async_accept(
         [self = shared_from_this()](const error_code& ec, tcp::socket socket)
         {
-            if (ec == asio::error::operation_aborted)
+            if (ec == asio::error::operation_aborted ||
+                !self->acceptor.is_open())
                 return;
             if (!ec)
                 self->add(std::move(socket));
@@ -357,6 +363,16 @@
     impl_->closing = true;
 }
 
+void server::close_idle()
+{
+    error_code ignored;
+    impl_->acceptor.close(ignored);
+    const auto all = impl_->all;
+    for (const auto& it : all)
+        if (it->is_idle())
+            it->end();
+}
+
 void server::sweep(base::instant now)
 {
     const auto all = impl_->all;
