--- a/include/mimosacroft/core/effects.hpp
+++ b/include/mimosacroft/core/effects.hpp
@@ -5,7 +5,7 @@
 #define MIMOSACROFT_CORE_EFFECTS_HPP
 
 #include "mimosacroft/base/time.hpp"
-#include "mimosacroft/core/events.hpp"
+#include "mimosacroft/core/log_event.hpp"
 #include "mimosacroft/wire/http.hpp"
 #include "mimosacroft/wire/messages.hpp"
 
@@ -55,13 +55,6 @@
     std::uint64_t id = 0;
 };
 
-/// A numbered event for the log.
-struct log_event
-{
-    event_id id;
-    std::vector<std::pair<std::string, std::string>> fields;
-};
-
 using effect = std::variant<send_peer, http_call, abandon_call, log_event>;
 using effects = std::vector<effect>;
 
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -104,6 +104,8 @@
     base::instant answer_time(const query& q);
     void refuse(query_number number, refusal why, const caller_request& request,
                 effects& out);
+    refused refusal_for(refusal why, const caller_request& request);
+    void refuse_query(query& q, refusal why, base::instant now, effects& out);
     bool can_be_served(const search& it, base::instant now) const;
     void start_parts(query& q, base::instant now, effects& out);
 
@@ -123,7 +125,8 @@
 
     // Results.
     exchange take_exchange(exchange_number number);
-    query* query_of(exchange_number number, const exchange& it);
+    query* query_of(exchange_number number, const exchange& it,
+                    std::string_view outcome, base::instant now);
     void on_good_part(query& q, std::size_t part, server_reply&& reply,
                       base::instant now, effects& out);
     void on_bad_part(query& q, std::size_t part, base::instant now,
@@ -131,7 +134,7 @@
     bool may_retry(const query& q, const part& p) const;
     void fail_part(query& q, std::size_t part);
     void check_done(query& q, base::instant now, effects& out);
-    void answer_merged(query& q, effects& out);
+    void answer_merged(query& q, base::instant now, effects& out);
     void answer_failed(query& q, base::instant now, effects& out);
     void take_back_unwritten(query& q, effects& out);
     void close(query& q, effects& out);
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -49,9 +49,11 @@
 {
     /// Between two calls; keeps a busy kind from using up the store's rate.
     base::milliseconds pace{400};
-    base::milliseconds wait{8'000};
+    /// A store that falls silent keeps its connections; only a watch that is
+    /// not answered in time shows it, and news must not wait for long then.
+    base::milliseconds wait{2'000};
     base::milliseconds first_retry{150};
-    base::milliseconds longest_retry{1'500};
+    base::milliseconds longest_retry{400};
 };
 
 class object_follower
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -4,6 +4,7 @@
 #define MIMOSACROFT_GATEWAY_QUERY_HPP
 
 #include "mimosacroft/base/names.hpp"
+#include "mimosacroft/core/log_event.hpp"
 #include "mimosacroft/gateway/catalog.hpp"
 #include "mimosacroft/gateway/server_pool.hpp"
 #include "mimosacroft/http/message.hpp"
@@ -108,10 +109,12 @@
     std::vector<send_effect> sends;
     std::vector<exchange_number> drops; ///< end these and their connections
     std::vector<answer_effect> answers;
+    std::vector<core::log_event> events;
 
     bool empty() const
     {
-        return sends.empty() && drops.empty() && answers.empty();
+        return sends.empty() && drops.empty() && answers.empty() &&
+               events.empty();
     }
 };
 
@@ -123,6 +126,16 @@
     failed ///< nothing more is tried
 };
 
+/// What came of one send, for the log.
+struct send_record
+{
+    exchange_number number = 0;
+    std::string server_id;
+    base::milliseconds sent{0}; ///< after the query's start
+    std::string outcome;        ///< empty while under way
+    base::milliseconds ended{0};
+};
+
 /// One service's part of a request. A request that is not scattered has one.
 struct part
 {
@@ -135,6 +148,7 @@
     bool may_have_run = false;
     server_reply reply; ///< the part's answer, or the last failure
     bool has_reply = false;
+    std::vector<send_record> sends;
 };
 
 struct query
@@ -149,6 +163,7 @@
     std::size_t done = 0;
     std::size_t failed = 0;
     bool ever_sent = false;
+    std::uint64_t version = 0; ///< of the configuration
     base::instant due = base::never; ///< as it stands in the timer list
 
     /// Whether enough shards are in for an answer.
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/entry/daemon.hpp"
 
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/entry/event_writer.hpp"
 #include "mimosacroft/entry/registration.hpp"
 #include "mimosacroft/entry/store_watch.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
@@ -17,6 +18,7 @@
 #include <cstdlib>
 #include <memory>
 #include <stdexcept>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace mimosacroft::entry
@@ -27,6 +29,7 @@
 
 using base::instant;
 using base::milliseconds;
+using core::event_id;
 
 constexpr milliseconds sweep_period{250};
 constexpr milliseconds reload_period{2'000};
@@ -118,6 +121,9 @@
     void on_servers(const std::vector<gateway::object_change>& changes);
     void on_server_list(const std::set<std::string>& names);
     void remove_server(const std::string& id);
+    void on_store_failure(const char* kind, const std::string& text);
+    void note_store_state();
+    void report_vms();
     void on_vms(const std::vector<gateway::object_change>& changes);
     void on_vm_list(const std::set<std::string>& names);
 
@@ -135,6 +141,7 @@
     void stop_if_quiet(instant at);
 
     settings settings_;
+    event_writer log_;
     settings_reader read_again_;
     http::asio::io_context io_{1};
     gateway::gateway gateway_;
@@ -152,6 +159,8 @@
     instant sweep_at_{};
     instant reload_at_{};
     instant store_failed_at_{};
+    bool store_lost_ = false;  ///< as the log has it
+    std::size_t fleet_size_ = 0; ///< as the log has it
     bool stopping_ = false;
     instant stop_after_ = base::never;
     instant stop_by_ = base::never;
@@ -161,7 +170,7 @@
 };
 
 daemon::daemon(const settings& start, settings_reader read_again)
-    : settings_(start), read_again_(std::move(read_again)),
+    : settings_(start), log_(STDOUT_FILENO, start.vm), read_again_(std::move(read_again)),
       gateway_(gateway_options_of(start)),
       upstreams_(
           io_,
@@ -195,15 +204,15 @@
                      {.on_changes = [this](const auto& it)
                       { on_configuration(it); },
                       .on_list = [](const auto&) {},
-                      .on_failure = [this](const auto&)
-                      { store_failed_at_ = now(); }},
+                      .on_failure = [this](const auto& it)
+                      { on_store_failure("configuration", it); }},
                      random_seed()),
       servers_(io_, std::string(platform::servers_kind), start.store_address,
                {.pace = servers_pace},
                {.on_changes = [this](const auto& it) { on_servers(it); },
                 .on_list = [this](const auto& it) { on_server_list(it); },
-                .on_failure = [this](const auto&)
-                { store_failed_at_ = now(); }},
+                .on_failure = [this](const auto& it)
+                { on_store_failure("servers", it); }},
                random_seed()),
       directory_(start.vm),
       vms_(io_, std::string(platform::vms_kind), start.store_address,
@@ -242,6 +251,8 @@
                         platform::encode_answer(std::move(it.reply)));
     for (const auto& it : out.sends)
         send(it);
+    for (const auto& it : out.events)
+        log_.write(it);
     arm();
 }
 
@@ -301,19 +312,26 @@
         auto next = platform::decode_catalog(it.content);
         if (!next)
         {
-            std::fprintf(stderr, "%s\n", to_string(next.error()).c_str());
+            log_.write({event_id::config_refused,
+                        {{"peer", "store"},
+                         {"reason", to_string(next.error())}}});
             continue;
         }
         auto version =
             std::make_shared<const gateway::catalog>(std::move(*next));
         if (!gateway_.apply(version))
             continue;
+        log_.write({event_id::config_applied,
+                    {{"version", std::to_string(version->version())},
+                     {"searches", std::to_string(version->size())}}});
         callers_.set_limits(to_server_limits(version->limits()));
     }
 }
 
 void daemon::remove_server(const std::string& id)
 {
+    log_.write({event_id::server_removed,
+                {{"peer", id}, {"reason", "its entry is gone"}}});
     const auto at = now();
     const bool outage = at - store_failed_at_ < outage_memory;
     gateway_.remove_server(id, at,
@@ -330,10 +348,15 @@
             continue;
         }
         const auto entry = platform::decode_server(it);
-        if (entry)
-            gateway_.servers().apply(*entry, now());
-        else
-            std::fprintf(stderr, "%s\n", to_string(entry.error()).c_str());
+        if (!entry)
+            log_.write({event_id::server_entry_refused,
+                        {{"reason", to_string(entry.error())}}});
+        else if (gateway_.servers().apply(*entry, now()))
+            log_.write({event_id::server_listed,
+                        {{"peer", entry->id},
+                         {"service", entry->service},
+                         {"data_centre", entry->data_centre},
+                         {"state", entry->leaving ? "leaving" : "ready"}}});
     }
     decide([&](auto& out) { gateway_.tick(now(), out); });
 }
@@ -345,6 +368,37 @@
             remove_server(id);
 }
 
+// One line when the store is lost and one when it is back, however many calls
+// fail in between.
+void daemon::on_store_failure(const char* kind, const std::string& text)
+{
+    store_failed_at_ = now();
+    if (store_lost_)
+        return;
+    store_lost_ = true;
+    log_.write({event_id::platform_lost,
+                {{"peer", settings_.store_address},
+                 {"step", kind},
+                 {"reason", text}}});
+}
+
+void daemon::note_store_state()
+{
+    if (!store_lost_ || configuration_.is_failing() || servers_.is_failing())
+        return;
+    store_lost_ = false;
+    log_.write({event_id::platform_back, {{"peer", settings_.store_address}}});
+}
+
+void daemon::report_vms()
+{
+    const auto n = directory_.fleet_size();
+    if (n == fleet_size_)
+        return;
+    fleet_size_ = n;
+    log_.write({event_id::vms_counted, {{"vms", std::to_string(n)}}});
+}
+
 void daemon::on_vms(const std::vector<gateway::object_change>& all)
 {
     for (const auto& it : all)
@@ -358,8 +412,11 @@
         if (entry)
             directory_.apply(*entry, now());
         else
-            std::fprintf(stderr, "%s\n", to_string(entry.error()).c_str());
+            log_.write({event_id::object_refused,
+                        {{"peer", "store"},
+                         {"reason", to_string(entry.error())}}});
     }
+    report_vms();
     gateway_.set_fleet_size(directory_.fleet_size());
 }
 
@@ -408,6 +465,8 @@
     upstreams_.sweep(at);
     callers_.sweep(at);
     ready_.sweep(at);
+    note_store_state();
+    log_.flush();
     if (reload_at_ <= at)
         reload();
     if (stopping_)
@@ -420,8 +479,10 @@
     for (const auto& lost : directory_.lapsed(now()))
         registration_.remove(lost);
     settings fresh;
-    if (read_again_(fresh))
-        settings_ = fresh;
+    if (!read_again_(fresh) || fresh == settings_)
+        return;
+    settings_ = fresh;
+    log_.write({event_id::settings_read, {}});
 }
 
 void daemon::wait_for_signal()
@@ -446,6 +507,7 @@
     if (stopping_)
         return;
     stopping_ = true;
+    log_.write({event_id::stopping, {{"signal", std::to_string(number)}}});
     const auto at = now();
     stop_after_ = at + taking_time;
     stop_by_ = at + std::max(settings_.stop_grace - stop_margin, taking_time);
@@ -468,8 +530,13 @@
     reload_at_ = now() + reload_period;
     sweep_at_ = now() + sweep_period;
     wait_for_signal();
+    log_.write({event_id::started,
+                {{"vm", settings_.vm},
+                 {"http", settings_.caller_address},
+                 {"peers", settings_.peer_address}}});
     on_timer();
     io_.run();
+    log_.write({event_id::stopped, {}});
     return EXIT_SUCCESS;
 }
 
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -13,7 +13,7 @@
 
 // The store answers in milliseconds; when it is slow, in a quarter of a second
 // and more.
-constexpr base::milliseconds call_margin{2'000};
+constexpr base::milliseconds call_margin{1'000};
 constexpr std::size_t largest_reply = std::size_t{32} << 20;
 
 http::client_options client_options_of()
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/gateway/gateway.hpp"
 
 #include "mimosacroft/gateway/merge.hpp"
+#include "mimosacroft/gateway/query_events.hpp"
 
 #include <algorithm>
 #include <array>
@@ -42,11 +43,6 @@
     return std::ranges::find(all, status) != all.end();
 }
 
-refused refusal_of(refusal why)
-{
-    return {why, std::nullopt};
-}
-
 } // namespace
 
 gateway::gateway(gateway_options options)
@@ -74,25 +70,37 @@
     return std::uniform_real_distribution<double>(0, 1)(random_);
 }
 
-void gateway::refuse(query_number number, refusal why,
-                     const caller_request& request, effects& out)
+refused gateway::refusal_for(refusal why, const caller_request& request)
 {
-    auto reply = refusal_of(why);
     const bool comes_back =
         why == refusal::no_configuration || why == refusal::no_server ||
         why == refusal::no_time || why == refusal::overloaded;
-    if (comes_back)
-    {
-        const auto first = why == refusal::no_configuration
-                               ? unconfigured_return
-                               : shortest_return;
-        auto after = first + std::chrono::duration_cast<milliseconds>(
-                                 return_spread * random_share());
-        if (request.deadline)
-            after = std::min(after, *request.deadline / 3);
-        reply.retry_after = after;
-    }
+    if (!comes_back)
+        return {why, std::nullopt};
+    const auto first = why == refusal::no_configuration ? unconfigured_return
+                                                        : shortest_return;
+    auto after = first + std::chrono::duration_cast<milliseconds>(
+                             return_spread * random_share());
+    if (request.deadline)
+        after = std::min(after, *request.deadline / 3);
+    return {why, after};
+}
+
+void gateway::refuse(query_number number, refusal why,
+                     const caller_request& request, effects& out)
+{
+    const auto reply = refusal_for(why, request);
     out.answers.push_back({number, reply});
+    out.events.push_back(refusal_event(request, reply));
+}
+
+// For a request that was taken. What is under way for it goes on without it.
+void gateway::refuse_query(query& q, refusal why, instant now, effects& out)
+{
+    const auto reply = refusal_for(why, *q.request);
+    out.answers.push_back({q.number, reply});
+    out.events.push_back(refusal_event(q, reply, now));
+    close(q, out);
 }
 
 bool gateway::can_be_served(const search& it, instant now) const
@@ -132,6 +140,7 @@
     q.number = number;
     q.search = of;
     q.started = now;
+    q.version = catalog_->version();
     auto time = of->timeout;
     if (request.deadline)
         time = std::min(time, *request.deadline - give_up_margin);
@@ -227,6 +236,7 @@
         }
         else if (final)
         {
+            out.events.push_back(answer_event(q, p.reply, now));
             out.answers.push_back({q.number, std::move(p.reply)});
             close(q, out);
         }
@@ -238,14 +248,14 @@
     }
     const bool in_time = now < q.answer_by;
     if (q.has_least() && (all || !in_time))
-        answer_merged(q, out);
+        answer_merged(q, now, out);
     else if (all || !q.can_reach_least())
         answer_failed(q, now, out);
     else
         schedule(q);
 }
 
-void gateway::answer_merged(query& q, effects& out)
+void gateway::answer_merged(query& q, instant now, effects& out)
 {
     merged reply;
     std::vector<std::string_view> bodies;
@@ -258,6 +268,7 @@
     }
     reply.missing = q.parts.size() - bodies.size();
     reply.records = merge_records(bodies, q.search->most_records);
+    out.events.push_back(answer_event(q, reply, now));
     out.answers.push_back({q.number, std::move(reply)});
     close(q, out);
 }
@@ -290,15 +301,13 @@
     const bool may_have_run =
         std::ranges::any_of(q.parts, [](const part& p)
                             { return p.may_have_run || !p.under_way.empty(); });
-    if (!may_have_run)
-        refuse(q.number,
-               q.ever_sent ? refusal::overloaded : refusal::no_server,
-               *q.request, out);
+    if (may_have_run)
+        refuse_query(
+            q, now >= q.give_up ? refusal::timed_out : refusal::failed, now,
+            out);
     else
-        out.answers.push_back(
-            {q.number, refusal_of(now >= q.give_up ? refusal::timed_out
-                                                   : refusal::failed)});
-    close(q, out);
+        refuse_query(q, q.ever_sent ? refusal::overloaded : refusal::no_server,
+                     now, out);
 }
 
 void gateway::close(query& q, effects& out)
@@ -317,6 +326,7 @@
     const auto found = queries_.find(number);
     if (found == queries_.end())
         return;
+    out.events.push_back(leave_event(found->second, now));
     for (const auto& p : found->second.parts)
         for (const auto it : p.under_way)
             set_drop_time(it, std::min(exchanges_.at(it).drop_at,
@@ -337,7 +347,7 @@
     if (now >= q.give_up)
     {
         if (q.search->is_scattered() && q.has_least())
-            answer_merged(q, out);
+            answer_merged(q, now, out);
         else
             answer_failed(q, now, out);
         return;
@@ -345,13 +355,12 @@
     if (!q.ever_sent && !q.search->is_scattered() &&
         now >= q.started + q.search->objective / refusal_share)
     {
-        refuse(q.number, refusal::overloaded, *q.request, out);
-        close(q, out);
+        refuse_query(q, refusal::overloaded, now, out);
         return;
     }
     if (now >= q.answer_by && q.search->is_scattered() && q.has_least())
     {
-        answer_merged(q, out);
+        answer_merged(q, now, out);
         return;
     }
     for (std::size_t n = 0; n < q.parts.size(); ++n)
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -37,6 +37,36 @@
 
 constexpr milliseconds dark_after{500};
 constexpr unsigned first_server_error = 500;
+// A server that failed this often in a row is named in the log, once.
+constexpr unsigned reported_failures = 2;
+
+// What came of a send, for the log.
+std::string describe(const server_reply& reply)
+{
+    if (reply.misdirected)
+        return "misdirected";
+    auto out = std::to_string(reply.message.status);
+    if (!reply.executed)
+        out += " not executed";
+    else if (reply.signature.empty())
+        out += " unsigned";
+    return out;
+}
+
+core::log_event returned_event(const server& it)
+{
+    return {core::event_id::server_returned,
+            {{"peer", it.entry.id},
+             {"failures", std::to_string(it.failures)}}};
+}
+
+core::log_event ejected_event(const server& it)
+{
+    return {core::event_id::server_ejected,
+            {{"peer", it.entry.id},
+             {"upstream", it.entry.service},
+             {"failures", std::to_string(it.failures)}}};
+}
 
 } // namespace
 
@@ -167,6 +197,11 @@
     p.state = part_state::open;
     p.under_way.push_back(number);
     p.tried.push_back(to.number);
+    p.sends.push_back({number, to.entry.id,
+                       std::chrono::duration_cast<milliseconds>(
+                           now - q.started),
+                       {},
+                       {}});
     ++p.arrivals;
     q.ever_sent = true;
     const bool may_hedge = options_.hedging && q.search->may_repeat() &&
@@ -229,12 +264,22 @@
     return out;
 }
 
-query* gateway::query_of(exchange_number number, const exchange& it)
+query* gateway::query_of(exchange_number number, const exchange& it,
+                         std::string_view outcome, instant now)
 {
     const auto found = queries_.find(it.query);
     if (found == queries_.end())
         return nullptr;
-    std::erase(found->second.parts[it.part].under_way, number);
+    auto& p = found->second.parts[it.part];
+    std::erase(p.under_way, number);
+    const auto record =
+        std::ranges::find(p.sends, number, &send_record::number);
+    if (record != p.sends.end())
+    {
+        record->outcome = outcome;
+        record->ended = std::chrono::duration_cast<milliseconds>(
+            now - found->second.started);
+    }
     return &found->second;
 }
 
@@ -251,7 +296,7 @@
     if (!exchanges_.contains(number))
         return;
     const auto it = take_exchange(number);
-    auto* q = query_of(number, it);
+    auto* q = query_of(number, it, describe(reply), now);
     std::string service;
     if (auto* from = servers_.find(it.to))
     {
@@ -264,6 +309,8 @@
             servers_.on_failure(*from, it.sent_at, now);
         else
         {
+            if (from->failures >= reported_failures)
+                out.events.push_back(returned_event(*from));
             latencies_[it.search].add(now - it.sent_at -
                                       server_pool::round_trip(from->away));
             servers_.on_reply(*from, it.sent_at, now, it.expected, reply.load);
@@ -304,8 +351,10 @@
     {
         service = to->entry.service;
         servers_.on_failure(*to, it.sent_at, now);
+        if (to->failures == reported_failures)
+            out.events.push_back(ejected_event(*to));
     }
-    if (auto* q = query_of(number, it))
+    if (auto* q = query_of(number, it, base::name_of(why), now))
     {
         auto& p = q->parts[it.part];
         if (why == send_failure::not_sent)
@@ -326,11 +375,15 @@
     {
         service = to->entry.service;
         if (to->silence(now) >= dark_after)
+        {
             servers_.on_failure(*to, it.sent_at, now);
+            if (to->failures == reported_failures)
+                out.events.push_back(ejected_event(*to));
+        }
         else
             servers_.on_dropped(*to, it.sent_at);
     }
-    if (auto* q = query_of(number, it))
+    if (auto* q = query_of(number, it, "silent", now))
     {
         q->parts[it.part].may_have_run =
             q->parts[it.part].may_have_run || it.written;
--- a/lib/http/asio.cpp
+++ b/lib/http/asio.cpp
@@ -11,6 +11,23 @@
 namespace mimosacroft::http
 {
 
+namespace
+{
+
+// A peer that is gone without a word shows within about three seconds also on a
+// connection on which nothing is sent, such as a watch that waits.
+constexpr int probe_after_s = 1;
+constexpr int probe_every_s = 1;
+constexpr int most_probes = 2;
+
+void set_tcp_option(tcp::socket& socket, int option, int value)
+{
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value,
+                 sizeof(value));
+}
+
+} // namespace
+
 std::optional<tcp::endpoint> endpoint_of(std::string_view address)
 {
     if (!base::is_address(address))
@@ -31,9 +48,12 @@
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    const auto ms = static_cast<unsigned>(unconfirmed.count());
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
-                 sizeof(ms));
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    set_tcp_option(socket, TCP_KEEPIDLE, probe_after_s);
+    set_tcp_option(socket, TCP_KEEPINTVL, probe_every_s);
+    set_tcp_option(socket, TCP_KEEPCNT, most_probes);
+    set_tcp_option(socket, TCP_USER_TIMEOUT,
+                   static_cast<int>(unconfirmed.count()));
 }
 
 } // namespace mimosacroft::http
