--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "mimosacroft/gateway/arrival_budget.hpp"
 #include "mimosacroft/gateway/catalog.hpp"
 #include "mimosacroft/gateway/query.hpp"
+#include "mimosacroft/gateway/relay_set.hpp"
 #include "mimosacroft/gateway/server_pool.hpp"
 
 #include <cstdint>
@@ -34,6 +35,7 @@
     base::seconds extra_window{10};
     std::uint32_t seed = 1;
     bool hedging = true;
+    bool relaying = true; ///< far shards are asked through a VM beside them
     bool partial_answers = true; ///< near the objective, with enough shards
 };
 
@@ -53,11 +55,17 @@
                        base::duration hold);
     const server_pool& servers() const { return servers_; }
 
-    /// VMs that send to the same servers, this one counted.
-    void set_fleet_size(std::size_t vms) { fleet_size_ = vms > 0 ? vms : 1; }
+    /// The other VMs, and how many send to the same servers, this one counted.
+    void set_fleet(const std::vector<vm_entry>& others, std::size_t size);
 
     void open(query_number number, caller_request&& request, base::instant now,
               effects& out);
+    /// A request that another VM took.
+    void open_relayed(query_number number, relayed_request&& request,
+                      base::instant now, effects& out);
+    /// The VM that was asked to answer has done so.
+    void on_relay_reply(exchange_number number, answer&& reply,
+                        base::instant now, effects& out);
     /// The caller closed its connection.
     void leave(query_number number, base::instant now, effects& out);
 
@@ -85,6 +93,7 @@
         base::instant sent_at{};
         base::instant drop_at{};
         base::duration expected{}; ///< usual latency without the way
+        std::string relay_vm; ///< with another VM, not a server; else empty
         std::string search;        ///< whose latencies the result belongs to
         bool written = false;
     };
@@ -107,8 +116,25 @@
     refused refusal_for(refusal why, const caller_request& request);
     void refuse_query(query& q, refusal why, base::instant now, effects& out);
     bool can_be_served(const search& it, base::instant now) const;
+    void take(query&& q, base::instant now, effects& out);
     void start_parts(query& q, base::instant now, effects& out);
 
+    // Relays.
+    struct relay_plan
+    {
+        std::string data_centre;
+        std::vector<std::uint32_t> shards;
+    };
+    relay_plan plan_relay(const search& it);
+    base::instant help_time(const query& q) const;
+    void delegate(query& q, base::instant now, effects& out);
+    void take_relayed_parts(query& q, const merged& from);
+    void fall_back(query& q, bool may_have_run, base::instant now,
+                   effects& out);
+    void on_relay_failure(exchange_number number, send_failure why,
+                          base::instant now, effects& out);
+    void abandon_relay(query& q, base::instant now, effects& out);
+
     // Choice and sending.
     void send_part(query& q, std::size_t part, base::instant now,
                    effects& out);
@@ -135,9 +161,11 @@
     void fail_part(query& q, std::size_t part);
     void check_done(query& q, base::instant now, effects& out);
     void answer_merged(query& q, base::instant now, effects& out);
+    void finish_merged(query& q, merged reply, base::instant now,
+                       effects& out);
     void answer_failed(query& q, base::instant now, effects& out);
-    void take_back_unwritten(query& q, effects& out);
-    void close(query& q, effects& out);
+    void take_back_unwritten(query& q, base::instant now, effects& out);
+    void close(query& q, base::instant now, effects& out);
     void set_drop_time(exchange_number number, base::instant at);
     void end_exchange(exchange_number number, base::instant now, effects& out);
 
@@ -153,6 +181,8 @@
     gateway_options options_;
     catalog_ptr catalog_;
     server_pool servers_;
+    relay_set relays_;
+    std::size_t relayed_ = 0; ///< spreads queries over data centres
     splitter splitter_;
     std::minstd_rand random_;
     std::size_t fleet_size_ = 1;
@@ -162,6 +192,7 @@
     std::unordered_map<exchange_number, exchange> exchanges_;
     std::unordered_map<std::string, arrival_budget> budgets_; ///< by service
     std::unordered_map<std::string, base::latency_tracker> latencies_;
+    std::unordered_map<std::string, base::latency_tracker> relay_latencies_;
     /// Longest deadline seen of each search's callers: what an attempt has less
     /// was used up by the caller's earlier attempts.
     std::unordered_map<std::string, base::milliseconds> longest_deadlines_;
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -77,15 +77,45 @@
     std::optional<base::milliseconds> retry_after;
 };
 
-/// One answer for all shards.
+/// One answer for all shards, or for those that a relay was asked for.
 struct merged
 {
     std::vector<std::string> signatures; ///< of the parts that are in
+    /// Between VMs: places of these parts in the search's list of shards.
+    std::vector<std::uint32_t> shards;
     std::size_t missing = 0;             ///< shards that are left out
     std::string records;
 };
 
-using answer = std::variant<refused, merged, server_reply>;
+/// A VM that was asked to answer in place of another one does not: nothing was
+/// run for it.
+struct declined
+{
+};
+
+using answer = std::variant<refused, merged, server_reply, declined>;
+
+/// Shards of a request that another VM took, to be asked by this one.
+struct relayed_request
+{
+    std::vector<std::uint32_t> shards; ///< places in the search's list
+    caller_request request;    ///< its deadline is what is left here
+    std::uint64_t version = 0; ///< of the configuration to be used
+    base::milliseconds answer_within{0};
+};
+
+/// Asks another VM for some shards of a request.
+struct relay_effect
+{
+    std::vector<std::uint32_t> shards;
+    exchange_number number = 0;
+    std::string address; ///< of the VM, ip:port
+    std::string vm;
+    std::uint64_t version = 0;
+    base::milliseconds answer_within{0};
+    base::milliseconds time_left{0};
+    caller_request_ptr request;
+};
 
 struct send_effect
 {
@@ -107,14 +137,15 @@
 struct effects
 {
     std::vector<send_effect> sends;
+    std::vector<relay_effect> relays;
     std::vector<exchange_number> drops; ///< end these and their connections
     std::vector<answer_effect> answers;
     std::vector<core::log_event> events;
 
     bool empty() const
     {
-        return sends.empty() && drops.empty() && answers.empty() &&
-               events.empty();
+        return sends.empty() && relays.empty() && drops.empty() &&
+               answers.empty() && events.empty();
     }
 };
 
@@ -122,6 +153,7 @@
 {
     waiting, ///< no exchange under way; in the queue of its service
     open,    ///< one exchange or more under way
+    relayed, ///< another VM was asked for it
     done,
     failed ///< nothing more is tried
 };
@@ -140,6 +172,7 @@
 struct part
 {
     std::string service;
+    std::uint32_t shard = 0; ///< place in the search's list of shards
     part_state state = part_state::waiting;
     std::vector<server_number> tried; ///< servers that it was sent to
     std::size_t arrivals = 0;         ///< sends that reached a server, or may
@@ -163,9 +196,16 @@
     std::size_t done = 0;
     std::size_t failed = 0;
     bool ever_sent = false;
+    bool is_relayed = false;     ///< another VM took it
+    exchange_number relay = 0;   ///< with a VM that was asked; 0: none
+    std::string relay_records;   ///< merged records that it gave
+    std::string relay_outcome;   ///< for the log; empty if none was asked
+    base::instant relay_until = base::never; ///< then its shards are asked from here
     std::uint64_t version = 0; ///< of the configuration
     base::instant due = base::never; ///< as it stands in the timer list
 
+    /// The share of its shards that an answer needs.
+    double least_coverage() const;
     /// Whether enough shards are in for an answer.
     bool has_least() const;
     /// Whether enough shards can still come in.
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -4,6 +4,7 @@
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/entry/event_writer.hpp"
 #include "mimosacroft/entry/registration.hpp"
+#include "mimosacroft/entry/relay_codec.hpp"
 #include "mimosacroft/entry/store_watch.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
 #include "mimosacroft/http/client.hpp"
@@ -17,6 +18,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <unistd.h>
 #include <unordered_map>
@@ -102,6 +104,14 @@
     return *out;
 }
 
+// Requests of other VMs are told from callers' by this bit of their number.
+constexpr gateway::query_number peer_bit = gateway::query_number{1} << 63U;
+
+bool is_of_peer(gateway::query_number number)
+{
+    return (number & peer_bit) != 0;
+}
+
 class daemon
 {
 public:
@@ -114,6 +124,9 @@
 
     void on_caller(http::request_number number, http::request&& message);
     void on_leave(http::request_number number);
+    void on_peer(http::request_number number, http::request&& message);
+    void on_peer_reply(http::exchange_number number, http::response&& message);
+    void answer(gateway::answer_effect&& it);
     void on_ready_question(http::request_number number);
     http::reply_match match(http::exchange_number number,
                             const http::response& message);
@@ -153,6 +166,8 @@
     registration registration_;
     http::server ready_;
     http::server callers_;
+    std::optional<http::server> peers_; ///< other VMs; none without an address
+    http::client relays_;
     http::asio::signal_set signals_;
     asio_timer timer_;
     instant armed_ = base::never;
@@ -232,8 +247,30 @@
                {.on_request = [this](auto number, http::request&& message)
                 { on_caller(number, std::move(message)); },
                 .on_leave = [this](auto number) { on_leave(number); }}),
+      relays_(io_,
+              {.on_sent = [this](auto number) { gateway_.on_sent(number); },
+               .on_reply = [this](auto number, http::response&& message)
+               { on_peer_reply(number, std::move(message)); },
+               .on_failure =
+                   [this](auto number, auto why)
+               {
+                   decide(
+                       [&](auto& out)
+                       {
+                           gateway_.on_failure(number, to_send_failure(why),
+                                               now(), out);
+                       });
+               }}),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_)
 {
+    if (start.peer_address.empty())
+        return;
+    peers_.emplace(
+        io_, endpoint_or_throw(start.peer_address),
+        http::server::handlers{
+            .on_request = [this](auto number, http::request&& message)
+            { on_peer(number, std::move(message)); },
+            .on_leave = [this](auto number) { on_leave(number | peer_bit); }});
 }
 
 template <typename Fn>
@@ -245,17 +282,61 @@
     {
         sent_.erase(number);
         upstreams_.drop(number);
+        relays_.drop(number);
     }
     for (auto& it : out.answers)
-        callers_.answer(it.number,
-                        platform::encode_answer(std::move(it.reply)));
+        answer(std::move(it));
     for (const auto& it : out.sends)
         send(it);
+    for (const auto& it : out.relays)
+        if (const auto to = http::endpoint_of(it.address))
+            relays_.send(it.number, *to, encode_relay(it));
     for (const auto& it : out.events)
         log_.write(it);
     arm();
 }
 
+void daemon::answer(gateway::answer_effect&& it)
+{
+    if (is_of_peer(it.number))
+        peers_->answer(it.number & ~peer_bit, encode_relay_answer(it.reply));
+    else
+        callers_.answer(it.number,
+                        platform::encode_answer(std::move(it.reply)));
+}
+
+void daemon::on_peer(http::request_number number, http::request&& message)
+{
+    auto request = decode_relay(message);
+    if (!request || stopping_)
+    {
+        // Nothing was run: the other VM asks the servers by itself.
+        peers_->answer(number, encode_relay_answer(gateway::declined{}));
+        return;
+    }
+    decide(
+        [&](auto& out)
+        {
+            gateway_.open_relayed(number | peer_bit, std::move(*request),
+                                  now(), out);
+        });
+}
+
+void daemon::on_peer_reply(http::exchange_number number,
+                           http::response&& message)
+{
+    auto reply = decode_relay_answer(message);
+    decide(
+        [&](auto& out)
+        {
+            if (reply)
+                gateway_.on_relay_reply(number, std::move(*reply), now(), out);
+            else
+                gateway_.on_failure(number, gateway::send_failure::malformed,
+                                    now(), out);
+        });
+}
+
 void daemon::send(const gateway::send_effect& it)
 {
     const auto to = http::endpoint_of(it.address);
@@ -417,7 +498,7 @@
                          {"reason", to_string(entry.error())}}});
     }
     report_vms();
-    gateway_.set_fleet_size(directory_.fleet_size());
+    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
 }
 
 void daemon::on_vm_list(const std::set<std::string>& names)
@@ -425,7 +506,7 @@
     for (const auto& it : directory_.names())
         if (!names.contains(it))
             directory_.remove(it);
-    gateway_.set_fleet_size(directory_.fleet_size());
+    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
 }
 
 void daemon::arm()
@@ -464,6 +545,9 @@
     sweep_at_ = at + sweep_period;
     upstreams_.sweep(at);
     callers_.sweep(at);
+    relays_.sweep(at);
+    if (peers_)
+        peers_->sweep(at);
     ready_.sweep(at);
     note_store_state();
     log_.flush();
@@ -526,7 +610,7 @@
 int daemon::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    gateway_.set_fleet_size(directory_.fleet_size());
+    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
     reload_at_ = now() + reload_period;
     sweep_at_ = now() + sweep_period;
     wait_for_signal();
--- /dev/null
+++ b/lib/entry/relay_codec.cpp
@@ -0,0 +1,175 @@
+// What entry VMs on the platform say to each other.
+#include "mimosacroft/entry/relay_codec.hpp"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <utility>
+#include <vector>
+
+namespace mimosacroft::entry
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+constexpr unsigned status_ok = 200;
+
+enum class answer_kind : std::uint8_t
+{
+    declined,
+    merged,
+    refused
+};
+
+struct relay_message
+{
+    std::uint64_t version = 0;
+    std::vector<std::uint32_t> shards;
+    std::int64_t answer_within_ms = 0;
+    std::int64_t time_left_ms = 0;
+    std::string id;
+    std::string host;
+    std::string method;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    MSGPACK_DEFINE(version, shards, answer_within_ms, time_left_ms, id, host, method,
+                   target, headers, body)
+};
+
+struct answer_message
+{
+    std::uint8_t kind = 0;
+    std::uint8_t reason = 0; ///< of a refusal
+    std::uint64_t missing = 0;
+    std::vector<std::string> signatures;
+    std::vector<std::uint32_t> shards;
+    std::string records;
+
+    MSGPACK_DEFINE(kind, reason, missing, signatures, shards, records)
+};
+
+template <typename Message>
+std::string pack(const Message& it)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, it);
+    return {buf.data(), buf.size()};
+}
+
+template <typename Message>
+base::result<Message> unpack(const std::string& bytes)
+{
+    try
+    {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return handle.get().as<Message>();
+    }
+    catch (const std::exception& ex)
+    {
+        return base::fail(base::error_code::invalid, base::step::forward, "vm",
+                          ex.what());
+    }
+}
+
+answer_message to_message(const gateway::answer& it)
+{
+    answer_message out;
+    if (const auto* merged = std::get_if<gateway::merged>(&it))
+    {
+        out.kind = static_cast<std::uint8_t>(answer_kind::merged);
+        out.missing = merged->missing;
+        out.signatures = merged->signatures;
+        out.shards = merged->shards;
+        out.records = merged->records;
+    }
+    else if (const auto* refused = std::get_if<gateway::refused>(&it))
+    {
+        out.kind = static_cast<std::uint8_t>(answer_kind::refused);
+        out.reason = static_cast<std::uint8_t>(refused->why);
+    }
+    return out;
+}
+
+} // namespace
+
+http::request encode_relay(const gateway::relay_effect& it)
+{
+    relay_message out;
+    out.version = it.version;
+    out.shards = it.shards;
+    out.answer_within_ms = it.answer_within.count();
+    out.time_left_ms = it.time_left.count();
+    out.id = it.request->id;
+    out.host = it.request->host;
+    out.method = it.request->message.method;
+    out.target = it.request->message.target;
+    for (const auto& header : it.request->message.headers)
+        out.headers.emplace_back(header.name, header.value);
+    out.body = it.request->message.body;
+
+    http::request message;
+    message.method = "POST";
+    message.target = relay_path;
+    message.headers.push_back({"Host", it.address});
+    message.body = pack(out);
+    return message;
+}
+
+base::result<gateway::relayed_request> decode_relay(const http::request& it)
+{
+    auto in = unpack<relay_message>(it.body);
+    if (!in)
+        return tl::unexpected(in.error());
+    gateway::relayed_request out;
+    out.version = in->version;
+    out.shards = std::move(in->shards);
+    out.answer_within = milliseconds(in->answer_within_ms);
+    out.request.id = std::move(in->id);
+    out.request.host = std::move(in->host);
+    out.request.deadline = milliseconds(in->time_left_ms);
+    out.request.message.method = std::move(in->method);
+    out.request.message.target = std::move(in->target);
+    for (auto& [name, value] : in->headers)
+        out.request.message.headers.push_back(
+            {std::move(name), std::move(value)});
+    out.request.message.body = std::move(in->body);
+    return out;
+}
+
+http::response encode_relay_answer(const gateway::answer& it)
+{
+    http::response out;
+    out.status = status_ok;
+    out.body = pack(to_message(it));
+    return out;
+}
+
+base::result<gateway::answer> decode_relay_answer(const http::response& it)
+{
+    if (it.status != status_ok)
+        return base::fail(base::error_code::invalid, base::step::forward, "vm",
+                          "status " + std::to_string(it.status));
+    auto in = unpack<answer_message>(it.body);
+    if (!in)
+        return tl::unexpected(in.error());
+    switch (static_cast<answer_kind>(in->kind))
+    {
+    case answer_kind::declined:
+        return gateway::answer(gateway::declined{});
+    case answer_kind::merged:
+        return gateway::answer(gateway::merged{
+            std::move(in->signatures), std::move(in->shards), in->missing,
+            std::move(in->records)});
+    case answer_kind::refused:
+        break;
+    }
+    const auto why = base::value_at<gateway::refusal>(in->reason);
+    return gateway::answer(gateway::refused{
+        why.value_or(gateway::refusal::failed), std::nullopt});
+}
+
+} // namespace mimosacroft::entry
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -65,6 +65,12 @@
     settle_at_ = std::min(settle_at_, now + hold);
 }
 
+void gateway::set_fleet(const std::vector<vm_entry>& others, std::size_t size)
+{
+    relays_.set_vms(others);
+    fleet_size_ = std::max<std::size_t>(size, 1);
+}
+
 double gateway::random_share()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
@@ -100,7 +106,7 @@
     const auto reply = refusal_for(why, *q.request);
     out.answers.push_back({q.number, reply});
     out.events.push_back(refusal_event(q, reply, now));
-    close(q, out);
+    close(q, now, out);
 }
 
 bool gateway::can_be_served(const search& it, instant now) const
@@ -151,7 +157,10 @@
     {
         q.parts.resize(of->shards.size());
         for (std::size_t n = 0; n < q.parts.size(); ++n)
+        {
             q.parts[n].service = of->shards[n];
+            q.parts[n].shard = static_cast<std::uint32_t>(n);
+        }
     }
     else if (const auto* service = splitter_.choose(*of))
         q.parts.emplace_back().service = *service;
@@ -174,8 +183,6 @@
     }
     const bool scattered = found->is_scattered();
     auto q = make_query(number, std::move(request), found, now);
-    for (const auto& it : q.parts)
-        budgets_[it.service].on_request(now);
     if (q.request->deadline && *q.request->deadline < least_deadline)
     {
         refuse(number, refusal::no_time, *q.request, out);
@@ -190,20 +197,32 @@
         refuse(number, refusal::no_server, *q.request, out);
         return;
     }
+    take(std::move(q), now, out);
+}
+
+void gateway::take(query&& q, instant now, effects& out)
+{
+    const auto number = q.number;
     auto& kept = queries_.emplace(number, std::move(q)).first->second;
+    delegate(kept, now, out);
     start_parts(kept, now, out);
 }
 
 void gateway::start_parts(query& q, instant now, effects& out)
 {
     for (std::size_t n = 0; n < q.parts.size(); ++n)
+    {
+        if (q.parts[n].state == part_state::relayed)
+            continue;
+        budgets_[q.parts[n].service].on_request(now);
         send_part(q, n, now, out);
+    }
     check_done(q, now, out);
 }
 
 void gateway::schedule(query& q)
 {
-    auto due = q.give_up;
+    auto due = std::min(q.give_up, q.relay_until);
     // Without enough shards nothing can be done at that time.
     if (q.search->is_scattered() && q.has_least())
         due = std::min(due, q.answer_by);
@@ -238,7 +257,7 @@
         {
             out.events.push_back(answer_event(q, p.reply, now));
             out.answers.push_back({q.number, std::move(p.reply)});
-            close(q, out);
+            close(q, now, out);
         }
         else if (all)
             answer_failed(q, now, out);
@@ -264,19 +283,27 @@
         if (it.state != part_state::done)
             continue;
         reply.signatures.push_back(it.reply.signature);
+        reply.shards.push_back(it.shard);
         bodies.emplace_back(it.reply.message.body);
     }
-    reply.missing = q.parts.size() - bodies.size();
+    bodies.emplace_back(q.relay_records);
+    reply.missing = q.parts.size() - reply.signatures.size();
     reply.records = merge_records(bodies, q.search->most_records);
+    finish_merged(q, std::move(reply), now, out);
+}
+
+void gateway::finish_merged(query& q, merged reply, instant now, effects& out)
+{
     out.events.push_back(answer_event(q, reply, now));
     out.answers.push_back({q.number, std::move(reply)});
-    close(q, out);
+    close(q, now, out);
 }
 
 // Sends that wait for their connection are taken back first: what was never
 // written did not run.
-void gateway::take_back_unwritten(query& q, effects& out)
+void gateway::take_back_unwritten(query& q, instant now, effects& out)
 {
+    abandon_relay(q, now, out);
     for (auto& p : q.parts)
     {
         const auto under_way = p.under_way;
@@ -297,8 +324,10 @@
 
 void gateway::answer_failed(query& q, instant now, effects& out)
 {
-    take_back_unwritten(q, out);
+    const bool relayed = q.relay != 0;
+    take_back_unwritten(q, now, out);
     const bool may_have_run =
+        relayed ||
         std::ranges::any_of(q.parts, [](const part& p)
                             { return p.may_have_run || !p.under_way.empty(); });
     if (may_have_run)
@@ -310,9 +339,9 @@
                      now, out);
 }
 
-void gateway::close(query& q, effects& out)
+void gateway::close(query& q, instant now, effects& out)
 {
-    take_back_unwritten(q, out);
+    take_back_unwritten(q, now, out);
     for (const auto& p : q.parts)
         for (const auto number : p.under_way)
             exchanges_.at(number).query = 0;
@@ -331,7 +360,7 @@
         for (const auto it : p.under_way)
             set_drop_time(it, std::min(exchanges_.at(it).drop_at,
                                        now + leave_margin));
-    close(found->second, out);
+    close(found->second, now, out);
 }
 
 void gateway::set_drop_time(exchange_number number, instant at)
@@ -363,6 +392,12 @@
         answer_merged(q, now, out);
         return;
     }
+    if (now >= q.relay_until)
+    {
+        q.relay_outcome += " helped";
+        fall_back(q, true, now, out);
+        return;
+    }
     for (std::size_t n = 0; n < q.parts.size(); ++n)
         if (q.parts[n].hedge_at <= now)
             hedge(q, n, now, out);
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -343,8 +343,14 @@
 void gateway::on_failure(exchange_number number, send_failure why, instant now,
                          effects& out)
 {
-    if (!exchanges_.contains(number))
+    const auto found = exchanges_.find(number);
+    if (found == exchanges_.end())
         return;
+    if (!found->second.relay_vm.empty())
+    {
+        on_relay_failure(number, why, now, out);
+        return;
+    }
     const auto it = take_exchange(number);
     std::string service;
     if (auto* to = servers_.find(it.to))
@@ -368,8 +374,13 @@
 
 void gateway::end_exchange(exchange_number number, instant now, effects& out)
 {
-    const auto it = take_exchange(number);
     out.drops.push_back(number);
+    if (!exchanges_.at(number).relay_vm.empty())
+    {
+        on_relay_failure(number, send_failure::lost, now, out);
+        return;
+    }
+    const auto it = take_exchange(number);
     std::string service;
     if (auto* to = servers_.find(it.to))
     {
--- a/lib/gateway/query.cpp
+++ b/lib/gateway/query.cpp
@@ -17,16 +17,22 @@
 
 } // namespace
 
+// Another VM decides whether what there is will do.
+double query::least_coverage() const
+{
+    return is_relayed ? 0 : search->least_coverage;
+}
+
 bool query::has_least() const
 {
-    return done > 0 && covers(done, parts.size(), search->least_coverage);
+    return done > 0 && covers(done, parts.size(), least_coverage());
 }
 
 bool query::can_reach_least() const
 {
     const auto possible = parts.size() - failed;
     return possible > 0 &&
-           covers(possible, parts.size(), search->least_coverage);
+           covers(possible, parts.size(), least_coverage());
 }
 
 } // namespace mimosacroft::gateway
--- a/lib/gateway/query_events.cpp
+++ b/lib/gateway/query_events.cpp
@@ -38,7 +38,8 @@
     for (const auto& p : q.parts)
     {
         const bool plain = p.state == part_state::done && p.sends.size() <= 1;
-        if (plain && q.parts.size() > 1)
+        const bool elsewhere = p.state == part_state::relayed;
+        if ((plain || elsewhere) && q.parts.size() > 1)
             continue;
         if (++listed > most_listed_parts)
             return out + "; ...";
@@ -54,11 +55,14 @@
 
 log_event event_of(event_id id, const query& q, instant now)
 {
-    return {id,
-            {{"request", q.request->id},
-             {"search", q.search->name},
-             {"version", std::to_string(q.version)},
-             {"ms", age_of(q, now)}}};
+    log_event out{id,
+                  {{"request", q.request->id},
+                   {"search", q.search->name},
+                   {"version", std::to_string(q.version)},
+                   {"ms", age_of(q, now)}}};
+    if (!q.relay_outcome.empty())
+        out.fields.emplace_back("relay", q.relay_outcome);
+    return out;
 }
 
 log_event finished(const query& q, unsigned status, std::size_t missing,
