--- a/include/mimosacroft/entry/settings.hpp
+++ b/include/mimosacroft/entry/settings.hpp
@@ -19,7 +19,7 @@
     std::map<std::string, std::string> regions; ///< of all data centres
     std::string caller_address;                 ///< ip:port, as all below
     std::string ready_address;
-    std::string peer_address; ///< empty: other VMs can't ask this one
+    std::string peer_address;       ///< empty: other VMs can't ask this one
     std::vector<std::string> seeds; ///< peer addresses; may be stale or down
     std::string store_address;
 
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -30,8 +30,8 @@
 {
     std::string data_centre;
     std::map<std::string, std::string> regions; ///< of data centres
-    double extra_ratio = 0.1;       ///< extra arrivals for each request
-    double extra_slack = 0;         ///< extra arrivals in a window, all VMs
+    double extra_ratio = 0.1; ///< extra arrivals for each request
+    double extra_slack = 0;   ///< extra arrivals in a window, all VMs
     base::seconds extra_window{10};
     std::uint32_t seed = 1;
     bool hedging = true;
@@ -73,8 +73,8 @@
     void on_sent(exchange_number number);
     void on_reply(exchange_number number, server_reply&& reply,
                   base::instant now, effects& out);
-    void on_failure(exchange_number number, send_failure why,
-                    base::instant now, effects& out);
+    void on_failure(exchange_number number, send_failure why, base::instant now,
+                    effects& out);
 
     /// Does what is due. To be called at next_due() or later.
     void tick(base::instant now, effects& out);
@@ -94,7 +94,7 @@
         base::instant drop_at{};
         base::duration expected{}; ///< usual latency without the way
         std::string relay_vm; ///< with another VM, not a server; else empty
-        std::string search;        ///< whose latencies the result belongs to
+        std::string search;   ///< whose latencies the result belongs to
         bool written = false;
     };
 
@@ -125,7 +125,7 @@
         std::string data_centre;
         std::vector<std::uint32_t> shards;
     };
-    relay_plan plan_relay(const search& it);
+    relay_plan plan_relay(const search& it, base::instant now);
     base::instant help_time(const query& q) const;
     void delegate(query& q, base::instant now, effects& out);
     void take_relayed_parts(query& q, const merged& from);
@@ -136,9 +136,9 @@
     void abandon_relay(query& q, base::instant now, effects& out);
 
     // Choice and sending.
-    void send_part(query& q, std::size_t part, base::instant now,
-                   effects& out);
+    void send_part(query& q, std::size_t part, base::instant now, effects& out);
     server* choose(const query& q, const part& p, base::instant now);
+    std::vector<server*> candidates(const query& q, const part& p) const;
     std::size_t most_exchanges(const server& it) const;
     void send(query& q, std::size_t part, server& to, base::instant now,
               effects& out);
@@ -161,8 +161,7 @@
     void fail_part(query& q, std::size_t part);
     void check_done(query& q, base::instant now, effects& out);
     void answer_merged(query& q, base::instant now, effects& out);
-    void finish_merged(query& q, merged reply, base::instant now,
-                       effects& out);
+    void finish_merged(query& q, merged reply, base::instant now, effects& out);
     void answer_failed(query& q, base::instant now, effects& out);
     void take_back_unwritten(query& q, base::instant now, effects& out);
     void close(query& q, base::instant now, effects& out);
@@ -173,8 +172,8 @@
     void schedule(query& q);
     void tick_query(query& q, base::instant now, effects& out);
     base::duration usual_latency(const search& of) const;
-    base::duration hedge_delay(const query& q, const part& p,
-                               const server& to, base::instant now);
+    base::duration hedge_delay(const query& q, const part& p, const server& to,
+                               base::instant now);
 
     double random_share();
 
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -68,8 +68,8 @@
 
     /// Takes a page or changes. When a list is complete, gives the names that
     /// it holds; all others are gone.
-    std::optional<std::set<std::string>>
-    on_batch(const object_batch& batch, base::instant now);
+    std::optional<std::set<std::string>> on_batch(const object_batch& batch,
+                                                  base::instant now);
 
     /// The history that the watch needs is gone.
     void on_history_gone(base::instant now);
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -38,9 +38,9 @@
 /// A server's answer, decoded.
 struct server_reply
 {
-    bool executed = true;  ///< false: the server says that it did no work
+    bool executed = true;     ///< false: the server says that it did no work
     bool misdirected = false; ///< another server answers at the address
-    std::string signature; ///< empty: the server did not sign it
+    std::string signature;    ///< empty: the server did not sign it
     std::optional<stated_load> load;
     http::response message;
 
@@ -83,7 +83,7 @@
     std::vector<std::string> signatures; ///< of the parts that are in
     /// Between VMs: places of these parts in the search's list of shards.
     std::vector<std::uint32_t> shards;
-    std::size_t missing = 0;             ///< shards that are left out
+    std::size_t missing = 0; ///< shards that are left out
     std::string records;
 };
 
@@ -99,8 +99,8 @@
 struct relayed_request
 {
     std::vector<std::uint32_t> shards; ///< places in the search's list
-    caller_request request;    ///< its deadline is what is left here
-    std::uint64_t version = 0; ///< of the configuration to be used
+    caller_request request;            ///< its deadline is what is left here
+    std::uint64_t version = 0;         ///< of the configuration to be used
     base::milliseconds answer_within{0};
 };
 
@@ -174,6 +174,9 @@
     std::string service;
     std::uint32_t shard = 0; ///< place in the search's list of shards
     part_state state = part_state::waiting;
+    /// Data centre of the VM that was asked for it; empty if none was. Then
+    /// that VM and the one that took the request keep to the same servers.
+    std::string relay_data_centre;
     std::vector<server_number> tried; ///< servers that it was sent to
     std::size_t arrivals = 0;         ///< sends that reached a server, or may
     std::vector<exchange_number> under_way;
@@ -196,12 +199,13 @@
     std::size_t done = 0;
     std::size_t failed = 0;
     bool ever_sent = false;
-    bool is_relayed = false;     ///< another VM took it
-    exchange_number relay = 0;   ///< with a VM that was asked; 0: none
-    std::string relay_records;   ///< merged records that it gave
-    std::string relay_outcome;   ///< for the log; empty if none was asked
-    base::instant relay_until = base::never; ///< then its shards are asked from here
-    std::uint64_t version = 0; ///< of the configuration
+    bool is_relayed = false;   ///< another VM took it
+    exchange_number relay = 0; ///< with a VM that was asked; 0: none
+    std::string relay_records; ///< merged records that it gave
+    std::string relay_outcome; ///< for the log; empty if none was asked
+    base::instant relay_until =
+        base::never;                 ///< then its shards are asked from here
+    std::uint64_t version = 0;       ///< of the configuration
     base::instant due = base::never; ///< as it stands in the timer list
 
     /// The share of its shards that an answer needs.
--- a/include/mimosacroft/query/leaf.hpp
+++ b/include/mimosacroft/query/leaf.hpp
@@ -4,10 +4,10 @@
 #ifndef MIMOSACROFT_QUERY_LEAF_HPP
 #define MIMOSACROFT_QUERY_LEAF_HPP
 
+#include "mimosacroft/base/latency_tracker.hpp"
 #include "mimosacroft/core/effects.hpp"
 #include "mimosacroft/fleet/agent.hpp"
 #include "mimosacroft/query/extra_budget.hpp"
-#include "mimosacroft/base/latency_tracker.hpp"
 #include "mimosacroft/query/leaf_options.hpp"
 #include "mimosacroft/query/replica_chooser.hpp"
 #include "mimosacroft/query/slot_ledger.hpp"
--- a/include/mimosacroft/query/replica_chooser.hpp
+++ b/include/mimosacroft/query/replica_chooser.hpp
@@ -4,8 +4,8 @@
 #ifndef MIMOSACROFT_QUERY_REPLICA_CHOOSER_HPP
 #define MIMOSACROFT_QUERY_REPLICA_CHOOSER_HPP
 
-#include "mimosacroft/model/resources.hpp"
 #include "mimosacroft/base/latency_tracker.hpp"
+#include "mimosacroft/model/resources.hpp"
 
 #include <functional>
 #include <optional>
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -12,8 +12,8 @@
 #include "platform/messages.hpp"
 #include "platform/store.hpp"
 
-#include <boost/asio/signal_set.hpp>
 #include <algorithm>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -174,7 +174,7 @@
     instant sweep_at_{};
     instant reload_at_{};
     instant store_failed_at_{};
-    bool store_lost_ = false;  ///< as the log has it
+    bool store_lost_ = false;    ///< as the log has it
     std::size_t fleet_size_ = 0; ///< as the log has it
     bool stopping_ = false;
     instant stop_after_ = base::never;
@@ -185,43 +185,44 @@
 };
 
 daemon::daemon(const settings& start, settings_reader read_again)
-    : settings_(start), log_(STDOUT_FILENO, start.vm), read_again_(std::move(read_again)),
-      gateway_(gateway_options_of(start)),
-      upstreams_(
-          io_,
-          {.on_sent = [this](auto number) { gateway_.on_sent(number); },
-           .match = [this](auto number, const auto& message)
-           { return match(number, message); },
-           .on_reply =
-               [this](auto number, http::response&& message)
-           {
-               sent_.erase(number);
-               decide(
-                   [&](auto& out)
-                   {
-                       gateway_.on_reply(
-                           number, platform::decode_reply(std::move(message)),
-                           now(), out);
-                   });
-           },
-           .on_failure =
-               [this](auto number, auto why)
-           {
-               sent_.erase(number);
-               decide(
-                   [&](auto& out) {
-                       gateway_.on_failure(number, to_send_failure(why), now(),
-                                           out);
-                   });
-           }}),
-      configuration_(io_, std::string(platform::configuration_kind),
-                     start.store_address, {.pace = configuration_pace},
-                     {.on_changes = [this](const auto& it)
-                      { on_configuration(it); },
-                      .on_list = [](const auto&) {},
-                      .on_failure = [this](const auto& it)
-                      { on_store_failure("configuration", it); }},
-                     random_seed()),
+    : settings_(start), log_(STDOUT_FILENO, start.vm),
+      read_again_(std::move(read_again)), gateway_(gateway_options_of(start)),
+      upstreams_(io_,
+                 {.on_sent = [this](auto number) { gateway_.on_sent(number); },
+                  .match = [this](auto number, const auto& message)
+                  { return match(number, message); },
+                  .on_reply =
+                      [this](auto number, http::response&& message)
+                  {
+                      sent_.erase(number);
+                      decide(
+                          [&](auto& out)
+                          {
+                              gateway_.on_reply(
+                                  number,
+                                  platform::decode_reply(std::move(message)),
+                                  now(), out);
+                          });
+                  },
+                  .on_failure =
+                      [this](auto number, auto why)
+                  {
+                      sent_.erase(number);
+                      decide(
+                          [&](auto& out)
+                          {
+                              gateway_.on_failure(number, to_send_failure(why),
+                                                  now(), out);
+                          });
+                  }}),
+      configuration_(
+          io_, std::string(platform::configuration_kind), start.store_address,
+          {.pace = configuration_pace},
+          {.on_changes = [this](const auto& it) { on_configuration(it); },
+           .on_list = [](const auto&) {},
+           .on_failure = [this](const auto& it)
+           { on_store_failure("configuration", it); }},
+          random_seed()),
       servers_(io_, std::string(platform::servers_kind), start.store_address,
                {.pace = servers_pace},
                {.on_changes = [this](const auto& it) { on_servers(it); },
@@ -317,8 +318,8 @@
     decide(
         [&](auto& out)
         {
-            gateway_.open_relayed(number | peer_bit, std::move(*request),
-                                  now(), out);
+            gateway_.open_relayed(number | peer_bit, std::move(*request), now(),
+                                  out);
         });
 }
 
@@ -393,9 +394,9 @@
         auto next = platform::decode_catalog(it.content);
         if (!next)
         {
-            log_.write({event_id::config_refused,
-                        {{"peer", "store"},
-                         {"reason", to_string(next.error())}}});
+            log_.write(
+                {event_id::config_refused,
+                 {{"peer", "store"}, {"reason", to_string(next.error())}}});
             continue;
         }
         auto version =
@@ -493,9 +494,9 @@
         if (entry)
             directory_.apply(*entry, now());
         else
-            log_.write({event_id::object_refused,
-                        {{"peer", "store"},
-                         {"reason", to_string(entry.error())}}});
+            log_.write(
+                {event_id::object_refused,
+                 {{"peer", "store"}, {"reason", to_string(entry.error())}}});
     }
     report_vms();
     gateway_.set_fleet(directory_.others(), directory_.fleet_size());
@@ -511,10 +512,9 @@
 
 void daemon::arm()
 {
-    const auto due =
-        std::min({gateway_.next_due(), configuration_.next_due(),
-                  servers_.next_due(), vms_.next_due(),
-                  registration_.next_due(), sweep_at_});
+    const auto due = std::min({gateway_.next_due(), configuration_.next_due(),
+                               servers_.next_due(), vms_.next_due(),
+                               registration_.next_due(), sweep_at_});
     if (due >= armed_)
         return;
     armed_ = due;
--- a/lib/entry/event_writer.cpp
+++ b/lib/entry/event_writer.cpp
@@ -52,23 +52,20 @@
 std::string event_writer::to_line(const core::log_event& event) const
 {
     const auto& description = core::describe(event.id);
-    nlohmann::ordered_json line = {
-        {"time", utc_now()},
-        {"level", core::name_of(description.level)},
-        {"event", static_cast<int>(event.id)},
-        {"name", description.name},
-        {"vm", vm_}};
+    nlohmann::ordered_json line = {{"time", utc_now()},
+                                   {"level", core::name_of(description.level)},
+                                   {"event", static_cast<int>(event.id)},
+                                   {"name", description.name},
+                                   {"vm", vm_}};
     for (const auto& [key, value] : event.fields)
         line[key] = value;
-    return line.dump(-1, ' ', false,
-                     nlohmann::json::error_handler_t::replace) +
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
            "\n";
 }
 
 void event_writer::write(const core::log_event& event)
 {
-    const bool plain =
-        core::describe(event.id).level == core::severity::info;
+    const bool plain = core::describe(event.id).level == core::severity::info;
     const auto most = plain ? options_.most_plain_bytes : options_.most_bytes;
     if (buf_.size() >= most)
     {
--- a/lib/entry/registration.cpp
+++ b/lib/entry/registration.cpp
@@ -34,8 +34,7 @@
       client_(io,
               {.on_reply = [this](auto number, http::response&& reply)
                { on_reply(number, reply); },
-               .on_failure = [this](auto number, auto)
-               { on_failure(number); }})
+               .on_failure = [this](auto number, auto) { on_failure(number); }})
 {
 }
 
@@ -67,9 +66,9 @@
 void registration::retry()
 {
     std::uniform_real_distribution<double> share(0, 1);
-    due_ = now() + least_retry +
-           std::chrono::duration_cast<milliseconds>(retry_spread *
-                                                    share(random_));
+    due_ =
+        now() + least_retry +
+        std::chrono::duration_cast<milliseconds>(retry_spread * share(random_));
 }
 
 void registration::on_failure(http::exchange_number number)
--- a/lib/entry/relay_codec.cpp
+++ b/lib/entry/relay_codec.cpp
@@ -36,8 +36,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
 
-    MSGPACK_DEFINE(version, shards, answer_within_ms, time_left_ms, id, host, method,
-                   target, headers, body)
+    MSGPACK_DEFINE(version, shards, answer_within_ms, time_left_ms, id, host,
+                   method, target, headers, body)
 };
 
 struct answer_message
@@ -161,15 +161,15 @@
     case answer_kind::declined:
         return gateway::answer(gateway::declined{});
     case answer_kind::merged:
-        return gateway::answer(gateway::merged{
-            std::move(in->signatures), std::move(in->shards), in->missing,
-            std::move(in->records)});
+        return gateway::answer(
+            gateway::merged{std::move(in->signatures), std::move(in->shards),
+                            in->missing, std::move(in->records)});
     case answer_kind::refused:
         break;
     }
     const auto why = base::value_at<gateway::refusal>(in->reason);
-    return gateway::answer(gateway::refused{
-        why.value_or(gateway::refusal::failed), std::nullopt});
+    return gateway::answer(
+        gateway::refused{why.value_or(gateway::refusal::failed), std::nullopt});
 }
 
 } // namespace mimosacroft::entry
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -32,14 +32,13 @@
     : kind_(std::move(kind)), store_address_(std::move(store_address)),
       store_(http::endpoint_of(store_address_)), follower_(options),
       on_(std::move(h)), random_(seed),
-      client_(
-          io,
-          {.on_reply = [this](http::exchange_number, http::response&& reply)
-           { on_reply(std::move(reply)); },
-           .on_failure =
-               [this](http::exchange_number, http::exchange_failure why)
-           { fail(std::string(base::name_of(why))); }},
-          client_options_of())
+      client_(io,
+              {.on_reply = [this](http::exchange_number, http::response&& reply)
+               { on_reply(std::move(reply)); },
+               .on_failure =
+                   [this](http::exchange_number, http::exchange_failure why)
+               { fail(std::string(base::name_of(why))); }},
+              client_options_of())
 {
 }
 
@@ -67,7 +66,8 @@
         return;
     step_ = call->step;
     const bool waits = call->step == gateway::follow_step::watch;
-    call_due_ = now + call_margin + (waits ? call->wait : base::milliseconds(0));
+    call_due_ =
+        now + call_margin + (waits ? call->wait : base::milliseconds(0));
     client_.send(++last_call_, *store_,
                  platform::encode_call(kind_, *call, store_address_));
 }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -113,12 +113,12 @@
 {
     if (!it.is_scattered())
         return true;
-    const auto live = std::ranges::count_if(
-        it.shards, [this, now](const std::string& shard)
-        { return servers_.has_live(shard, now); });
-    return live > 0 && static_cast<double>(live) + 1e-9 >=
-                           it.least_coverage *
-                               static_cast<double>(it.shards.size());
+    const auto live =
+        std::ranges::count_if(it.shards, [this, now](const std::string& shard)
+                              { return servers_.has_live(shard, now); });
+    return live > 0 &&
+           static_cast<double>(live) + 1e-9 >=
+               it.least_coverage * static_cast<double>(it.shards.size());
 }
 
 // The objective counts from the caller's first attempt.
@@ -134,8 +134,7 @@
         used = longest - *deadline;
     }
     const auto left = q.search->objective - used - answer_margin;
-    const auto wanted =
-        left > milliseconds(0) ? left : q.search->objective;
+    const auto wanted = left > milliseconds(0) ? left : q.search->objective;
     return std::min(q.started + wanted, q.give_up);
 }
 
@@ -230,9 +229,8 @@
         if (it.state != part_state::done && it.state != part_state::failed)
             due = std::min(due, it.hedge_at);
     if (!q.ever_sent && !q.search->is_scattered())
-        due = std::min<instant>(due,
-                                q.started + q.search->objective /
-                                                refusal_share);
+        due = std::min<instant>(due, q.started +
+                                         q.search->objective / refusal_share);
     if (due == q.due)
         return;
     query_times_.erase({q.due, q.number});
@@ -331,9 +329,8 @@
         std::ranges::any_of(q.parts, [](const part& p)
                             { return p.may_have_run || !p.under_way.empty(); });
     if (may_have_run)
-        refuse_query(
-            q, now >= q.give_up ? refusal::timed_out : refusal::failed, now,
-            out);
+        refuse_query(q, now >= q.give_up ? refusal::timed_out : refusal::failed,
+                     now, out);
     else
         refuse_query(q, q.ever_sent ? refusal::overloaded : refusal::no_server,
                      now, out);
@@ -358,8 +355,8 @@
     out.events.push_back(leave_event(found->second, now));
     for (const auto& p : found->second.parts)
         for (const auto it : p.under_way)
-            set_drop_time(it, std::min(exchanges_.at(it).drop_at,
-                                       now + leave_margin));
+            set_drop_time(
+                it, std::min(exchanges_.at(it).drop_at, now + leave_margin));
     close(found->second, now, out);
 }
 
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -1,6 +1,8 @@
 // Sends to servers, and what comes of them.
 #include "mimosacroft/gateway/gateway.hpp"
 
+#include "mimosacroft/base/stable_hash.hpp"
+
 #include <algorithm>
 
 namespace mimosacroft::gateway
@@ -56,8 +58,7 @@
 core::log_event returned_event(const server& it)
 {
     return {core::event_id::server_returned,
-            {{"peer", it.entry.id},
-             {"failures", std::to_string(it.failures)}}};
+            {{"peer", it.entry.id}, {"failures", std::to_string(it.failures)}}};
 }
 
 core::log_event ejected_event(const server& it)
@@ -90,8 +91,8 @@
 {
     const auto used = budgets_[p.service].used(budget_options(), now);
     const auto factor = hedge_factor + hedge_restraint * used * used;
-    const auto usual = std::chrono::duration_cast<duration>(
-        usual_latency(*q.search) * factor);
+    const auto usual =
+        std::chrono::duration_cast<duration>(usual_latency(*q.search) * factor);
     return std::max<duration>(usual, least_hedge_delay) +
            server_pool::round_trip(to.away);
 }
@@ -113,23 +114,44 @@
     return std::max<std::size_t>(mine, 1);
 }
 
+// The servers that a part may go to. Two VMs that both work on a part must not
+// use more servers together than the search allows: they take the same ones,
+// those beside the relay first.
+std::vector<server*> gateway::candidates(const query& q, const part& p) const
+{
+    std::vector<server*> out;
+    for (auto* it : servers_.of(p.service))
+        if (!it->entry.leaving)
+            out.push_back(it);
+    if (p.relay_data_centre.empty() || out.size() <= q.search->attempts)
+        return out;
+    const auto order = [&q, &p](const server* it)
+    {
+        return std::pair(it->entry.data_centre != p.relay_data_centre,
+                         base::stable_hash({q.request->id, it->entry.id}));
+    };
+    std::ranges::sort(out, {}, order);
+    out.resize(q.search->attempts);
+    return out;
+}
+
 server* gateway::choose(const query& q, const part& p, instant now)
 {
     const auto usual = usual_latency(*q.search);
     server* best = nullptr;
     duration least{};
-    for (auto* it : servers_.of(p.service))
+    for (auto* it : candidates(q, p))
     {
-        if (it->entry.leaving || it->sent.size() >= most_exchanges(*it))
+        if (it->sent.size() >= most_exchanges(*it))
             continue;
-        const bool busy = std::ranges::any_of(
-            p.under_way, [this, it](exchange_number n)
-            { return exchanges_.at(n).to == it->number; });
+        const bool busy =
+            std::ranges::any_of(p.under_way, [this, it](exchange_number n)
+                                { return exchanges_.at(n).to == it->number; });
         if (busy)
             continue;
-        auto cost = estimate(*it, usual, now) +
-                    std::chrono::duration_cast<duration>(tie_spread *
-                                                         random_share());
+        auto cost =
+            estimate(*it, usual, now) +
+            std::chrono::duration_cast<duration>(tie_spread * random_share());
         if (std::ranges::find(p.tried, it->number) != p.tried.end())
             cost += tried_penalty;
         if (!best || cost < least)
@@ -157,8 +179,8 @@
 
 void gateway::wait(const query& q, std::size_t part)
 {
-    waiting_[q.parts[part].service].emplace(
-        wait_key{q.search->rank, q.give_up}, waiter{q.number, part});
+    waiting_[q.parts[part].service].emplace(wait_key{q.search->rank, q.give_up},
+                                            waiter{q.number, part});
 }
 
 void gateway::drop_waiters(const query& q)
@@ -197,18 +219,18 @@
     p.state = part_state::open;
     p.under_way.push_back(number);
     p.tried.push_back(to.number);
-    p.sends.push_back({number, to.entry.id,
-                       std::chrono::duration_cast<milliseconds>(
-                           now - q.started),
-                       {},
-                       {}});
+    p.sends.push_back(
+        {number,
+         to.entry.id,
+         std::chrono::duration_cast<milliseconds>(now - q.started),
+         {},
+         {}});
     ++p.arrivals;
     q.ever_sent = true;
     const bool may_hedge = options_.hedging && q.search->may_repeat() &&
                            p.arrivals < q.search->attempts;
     p.hedge_at = may_hedge ? now + hedge_delay(q, p, to, now) : base::never;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(q.give_up - now);
+    const auto left = std::chrono::duration_cast<milliseconds>(q.give_up - now);
     out.sends.push_back({number, to.entry.address, to.entry.id,
                          std::max(left, milliseconds(1)),
                          q.search->may_repeat(), q.request});
@@ -319,8 +341,8 @@
     if (q)
     {
         auto& p = q->parts[it.part];
-        const bool good = reply.executed && reply.is_success() &&
-                          !reply.signature.empty();
+        const bool good =
+            reply.executed && reply.is_success() && !reply.signature.empty();
         const bool final_status =
             reply.executed && !q->search->is_scattered() &&
             reply.message.status < first_server_error && !reply.is_success();
@@ -329,7 +351,9 @@
             on_good_part(*q, it.part, std::move(reply), now, out);
         else
         {
-            if (reply.executed && !reply.is_success())
+            // Not in place of an answer that another server gave.
+            const bool is_open = p.state != part_state::done;
+            if (is_open && reply.executed && !reply.is_success())
             {
                 p.reply = std::move(reply);
                 p.has_reply = true;
@@ -431,8 +455,7 @@
     ++q.failed;
 }
 
-void gateway::on_bad_part(query& q, std::size_t part, instant now,
-                          effects& out)
+void gateway::on_bad_part(query& q, std::size_t part, instant now, effects& out)
 {
     auto& p = q.parts[part];
     if (p.state == part_state::done || p.state == part_state::failed)
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -31,12 +31,12 @@
 instant gateway::help_time(const query& q) const
 {
     const auto it = relay_latencies_.find(q.search->name);
-    const bool known = it != relay_latencies_.end() &&
-                       it->second.samples() >= enough_samples;
-    const auto ms = known ? base::to_fractional_ms(it->second.quantile(0.5)) *
-                                help_factor
-                          : base::to_fractional_ms(q.search->objective) *
-                                unknown_help_share;
+    const bool known =
+        it != relay_latencies_.end() && it->second.samples() >= enough_samples;
+    const auto ms =
+        known
+            ? base::to_fractional_ms(it->second.quantile(0.5)) * help_factor
+            : base::to_fractional_ms(q.search->objective) * unknown_help_share;
     const auto usual = std::chrono::duration_cast<base::duration>(
         std::chrono::duration<double, std::milli>(ms));
     return std::min(q.started + usual, q.answer_by);
@@ -44,7 +44,7 @@
 
 // The shards that have no server near, and a data centre that holds most of
 // them.
-gateway::relay_plan gateway::plan_relay(const search& it)
+gateway::relay_plan gateway::plan_relay(const search& it, instant now)
 {
     std::map<std::string, std::vector<std::uint32_t>> far_shards;
     for (std::uint32_t n = 0; n < it.shards.size(); ++n)
@@ -62,6 +62,8 @@
                               far_shards[s->entry.data_centre].back() != n))
                 far_shards[s->entry.data_centre].push_back(n);
     }
+    std::erase_if(far_shards, [this, now](const auto& one)
+                  { return !relays_.choose(one.first, now); });
     std::size_t most = 0;
     for (const auto& [data_centre, shards] : far_shards)
         most = std::max(most, shards.size());
@@ -71,8 +73,7 @@
                   [most](const auto& one) { return one.second.size() < most; });
     // Queries in turn go to all data centres that will do.
     const auto n = relayed_++ % far_shards.size();
-    auto chosen =
-        std::next(far_shards.begin(), static_cast<std::ptrdiff_t>(n));
+    auto chosen = std::next(far_shards.begin(), static_cast<std::ptrdiff_t>(n));
     return {chosen->first, std::move(chosen->second)};
 }
 
@@ -80,7 +81,7 @@
 {
     if (!options_.relaying || q.is_relayed || !q.search->is_scattered())
         return;
-    auto plan = plan_relay(*q.search);
+    auto plan = plan_relay(*q.search, now);
     const auto* vm =
         plan.shards.empty() ? nullptr : relays_.choose(plan.data_centre, now);
     if (!vm)
@@ -99,8 +100,12 @@
     q.relay_until = help_time(q);
     q.ever_sent = true;
     for (const auto n : plan.shards)
+    {
         q.parts[n].state = part_state::relayed;
-    // The relay counts from the request's arrival, and its answer has a way too.
+        q.parts[n].relay_data_centre = plan.data_centre;
+    }
+    // The relay counts from the request's arrival, and its answer has a way
+    // too.
     const auto both_ways =
         server_pool::round_trip(distance::other_region) + relay_margin;
     const auto within = [&](instant at)
@@ -109,19 +114,18 @@
             std::chrono::duration_cast<milliseconds>(at - now - both_ways),
             milliseconds(1));
     };
-    out.relays.push_back({std::move(plan.shards), number, vm->address,
-                          vm->name, q.version, within(q.answer_by),
-                          within(q.give_up), q.request});
+    out.relays.push_back({std::move(plan.shards), number, vm->address, vm->name,
+                          q.version, within(q.answer_by), within(q.give_up),
+                          q.request});
 }
 
 void gateway::open_relayed(query_number number, relayed_request&& request,
                            instant now, effects& out)
 {
-    const auto found =
-        catalog_ && catalog_->version() == request.version
-            ? catalog_->match(request.request.host,
-                              request.request.message.target)
-            : nullptr;
+    const auto found = catalog_ && catalog_->version() == request.version
+                           ? catalog_->match(request.request.host,
+                                             request.request.message.target)
+                           : nullptr;
     const bool known =
         found && !request.shards.empty() &&
         std::ranges::all_of(request.shards, [&found](std::uint32_t n)
@@ -134,7 +138,10 @@
     auto q = make_query(number, std::move(request.request), found, now);
     std::vector<part> wanted;
     for (const auto n : request.shards)
+    {
+        q.parts[n].relay_data_centre = options_.data_centre;
         wanted.push_back(std::move(q.parts[n]));
+    }
     q.parts = std::move(wanted);
     q.answer_by = std::min(q.give_up, now + request.answer_within);
     q.is_relayed = true;
@@ -155,6 +162,7 @@
         {
             budgets_[p.service].on_request(now);
             p.state = part_state::waiting;
+            p.relay_data_centre.clear();
             send_part(q, n, now, out);
             continue;
         }
@@ -169,8 +177,8 @@
     check_done(q, now, out);
 }
 
-// The relay merged the records of all its parts, so each of these counts as its,
-// also where an answer came here directly meanwhile.
+// The relay merged the records of all its parts, so each of these counts as
+// its, also where an answer came here directly meanwhile.
 void gateway::take_relayed_parts(query& q, const merged& from)
 {
     const auto n = std::min(from.shards.size(), from.signatures.size());
--- a/lib/gateway/query.cpp
+++ b/lib/gateway/query.cpp
@@ -31,8 +31,7 @@
 bool query::can_reach_least() const
 {
     const auto possible = parts.size() - failed;
-    return possible > 0 &&
-           covers(possible, parts.size(), least_coverage());
+    return possible > 0 && covers(possible, parts.size(), least_coverage());
 }
 
 } // namespace mimosacroft::gateway
--- a/lib/gateway/query_events.cpp
+++ b/lib/gateway/query_events.cpp
@@ -70,9 +70,9 @@
 {
     const bool in_time = now - q.started <= q.search->objective;
     const bool plain = status < 300 && missing == 0 && in_time;
-    auto out = event_of(
-        plain ? event_id::request_answered : event_id::request_incomplete, q,
-        now);
+    auto out = event_of(plain ? event_id::request_answered
+                              : event_id::request_incomplete,
+                        q, now);
     out.fields.emplace_back("status", std::to_string(status));
     if (plain)
         return out;
--- a/lib/gateway/relay_set.cpp
+++ b/lib/gateway/relay_set.cpp
@@ -28,8 +28,8 @@
         if (it.address.empty())
             continue;
         const auto known = relays_.find(it.name);
-        const bool same = known != relays_.end() &&
-                          known->second.entry.address == it.address;
+        const bool same =
+            known != relays_.end() && known->second.entry.address == it.address;
         auto& fresh = next[it.name];
         if (same)
             fresh = known->second;
@@ -40,8 +40,7 @@
 
 bool relay_set::is_usable(const relay& it, instant now) const
 {
-    const bool silent =
-        it.in_flight > 0 && now - it.owed_since >= silent_after;
+    const bool silent = it.in_flight > 0 && now - it.owed_since >= silent_after;
     return it.avoid_until <= now && !silent;
 }
 
--- a/lib/gateway/server_pool.cpp
+++ b/lib/gateway/server_pool.cpp
@@ -92,12 +92,12 @@
     if (it.cold_until > now)
         slow = std::max(slow, cold_slowness);
     const auto usual = scaled(expected, slow);
-    const auto slots = static_cast<double>(std::max<std::size_t>(
-        it.entry.slots, 1));
-    const auto ahead = std::max(
-        0.0, static_cast<double>(load_of(it, now)) - slots + 1);
-    auto out = server_pool::round_trip(it.away) +
-               scaled(usual, 1 + ahead / slots);
+    const auto slots =
+        static_cast<double>(std::max<std::size_t>(it.entry.slots, 1));
+    const auto ahead =
+        std::max(0.0, static_cast<double>(load_of(it, now)) - slots + 1);
+    auto out =
+        server_pool::round_trip(it.away) + scaled(usual, 1 + ahead / slots);
     const auto silence = it.silence(now);
     if (silence > std::max<duration>(scaled(usual, silent_after) +
                                          server_pool::round_trip(it.away),
@@ -271,9 +271,9 @@
     const auto usual = std::max<duration>(expected, milliseconds(1));
     const auto took = now - sent_at - round_trip(it.away);
     const auto before = decayed_slowness(it, now);
-    const auto ratio = std::clamp(
-        base::to_fractional_ms(took) / base::to_fractional_ms(usual), 0.2,
-        std::min(most_rise * before, most_slowness));
+    const auto ratio =
+        std::clamp(base::to_fractional_ms(took) / base::to_fractional_ms(usual),
+                   0.2, std::min(most_rise * before, most_slowness));
     it.slowness = before + slowness_weight * (ratio - before);
     it.slowness_at = now;
     it.last_reply = now;
--- a/lib/gateway/vm_directory.cpp
+++ b/lib/gateway/vm_directory.cpp
@@ -1,7 +1,6 @@
 // The entry VMs of the fleet as the store lists them.
 #include "mimosacroft/gateway/vm_directory.hpp"
 
-
 namespace mimosacroft::gateway
 {
 
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -347,8 +347,8 @@
         fail(exchange_failure::not_sent);
 }
 
-client::impl::connection_ptr
-client::impl::take_idle(const tcp::endpoint& to, base::instant used_since)
+client::impl::connection_ptr client::impl::take_idle(const tcp::endpoint& to,
+                                                     base::instant used_since)
 {
     const auto it = idle.find(to);
     if (it == idle.end() || it->second.empty() ||
@@ -424,8 +424,8 @@
 {
     const auto idle = impl_->idle;
     for (const auto& [peer, kept] : idle)
-        std::ranges::for_each(kept, [now](const auto& it)
-                              { it->sweep_idle(now); });
+        std::ranges::for_each(kept,
+                              [now](const auto& it) { it->sweep_idle(now); });
     const auto busy = impl_->busy;
     for (const auto& [number, it] : busy)
         it->sweep_busy(now);
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -78,9 +78,8 @@
 
 std::string serialize(const response& it, bool close)
 {
-    const auto reason =
-        boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
-            static_cast<unsigned>(it.status)));
+    const auto reason = boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(static_cast<unsigned>(it.status)));
     std::string out = "HTTP/1.1 " + std::to_string(it.status) + " ";
     out.append(reason.data(), reason.size());
     out += "\r\n";
--- /dev/null
+++ b/unittests/gateway/object_follower_test.cpp
@@ -0,0 +1,102 @@
+// Tests of following a kind of object in the store.
+#include "mimosacroft/gateway/object_follower.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mimosacroft;
+using base::milliseconds;
+using gateway::follow_step;
+
+TEST_GROUP(object_follower)
+{
+    gateway::object_follower it{{}};
+    base::instant now{base::seconds(1'000)};
+
+    static gateway::object_batch batch(std::vector<std::string> names,
+                                       std::uint64_t revision, bool more)
+    {
+        gateway::object_batch out;
+        for (auto& name : names)
+            out.changes.push_back({std::move(name), "{}", false});
+        out.revision = revision;
+        out.has_more = more;
+        return out;
+    }
+
+    gateway::follow_call next()
+    {
+        if (it.next_due() != base::never)
+            now = std::max(now, it.next_due());
+        const auto out = it.next(now);
+        CHECK(out.has_value());
+        return *out;
+    }
+};
+
+TEST(object_follower, lists_page_by_page_then_watches_from_the_first_page)
+{
+    CHECK(next().step == follow_step::list);
+    CHECK_FALSE(it.on_batch(batch({"a", "b"}, 7, true), now).has_value());
+    const auto page = next();
+    STRCMP_EQUAL("b", page.after.c_str());
+    const auto names = it.on_batch(batch({"c"}, 9, false), now);
+    CHECK((names == std::set<std::string>{"a", "b", "c"}));
+    const auto watch = next();
+    CHECK(watch.step == follow_step::watch);
+    LONGS_EQUAL(7, watch.revision);
+}
+
+TEST(object_follower, one_call_at_a_time_and_paced)
+{
+    next();
+    CHECK_FALSE(it.next(now + base::seconds(60)).has_value());
+    it.on_batch(batch({}, 7, false), now);
+    next();
+    it.on_batch(batch({"a"}, 8, false), now);
+    CHECK_FALSE(it.next(now).has_value());
+    CHECK(it.next_due() > now);
+}
+
+TEST(object_follower, a_lost_history_is_listed_anew)
+{
+    next();
+    it.on_batch(batch({"a"}, 7, false), now);
+    next();
+    it.on_history_gone(now);
+    CHECK(next().step == follow_step::list);
+}
+
+TEST(object_follower, goes_on_from_where_it_was_after_failures)
+{
+    next();
+    it.on_batch(batch({"a"}, 7, false), now);
+    for (int n = 0; n < 5; ++n)
+    {
+        const auto watch = next();
+        LONGS_EQUAL(7, watch.revision);
+        it.on_failure(now, 1);
+        CHECK(it.next_due() > now);
+        CHECK(it.next_due() <= now + milliseconds(1'000));
+    }
+    LONGS_EQUAL(5, it.failures());
+}
+
+TEST(object_follower, a_broken_list_starts_again)
+{
+    next();
+    it.on_batch(batch({"a"}, 7, true), now);
+    next();
+    it.on_failure(now, 0);
+    STRCMP_EQUAL("", next().after.c_str());
+    const auto names = it.on_batch(batch({"b"}, 9, false), now);
+    CHECK((names == std::set<std::string>{"b"}));
+}
+
+// The store's silence must show before news may be late: a watch that hangs is
+// given up after its wait and a little.
+TEST(object_follower, a_watch_waits_for_two_seconds_at_most)
+{
+    next();
+    it.on_batch(batch({}, 7, false), now);
+    CHECK(next().wait <= milliseconds(2'000));
+}
--- /dev/null
+++ b/unittests/gateway/vm_directory_test.cpp
@@ -0,0 +1,52 @@
+// Tests of the list of entry VMs.
+#include "mimosacroft/gateway/relay_set.hpp"
+#include "mimosacroft/gateway/vm_directory.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mimosacroft;
+using base::milliseconds;
+
+TEST_GROUP(vm_directory)
+{
+    gateway::vm_directory it{"me"};
+    base::instant now{base::seconds(1'000)};
+};
+
+TEST(vm_directory, takes_a_large_fleet_for_granted_until_the_list_is_read)
+{
+    CHECK(it.fleet_size() > 9);
+    it.apply({"me", "10.0.0.1:70", "a", 0}, now);
+    LONGS_EQUAL(1, it.fleet_size());
+    it.apply({"other", "10.0.0.2:70", "a", 0}, now);
+    LONGS_EQUAL(2, it.fleet_size());
+    it.remove("other");
+    LONGS_EQUAL(1, it.fleet_size());
+}
+
+TEST(vm_directory, an_entry_that_is_not_renewed_lapses)
+{
+    it.apply({"other", "10.0.0.2:70", "a", 0}, now);
+    it.apply({"other", "10.0.0.2:70", "a", 1}, now + gateway::renewal_period);
+    CHECK(it.lapsed(now + gateway::entry_lifetime).empty());
+    const auto later = now + gateway::renewal_period + gateway::entry_lifetime;
+    it.apply({"other", "10.0.0.2:70", "a", 1}, later);
+    LONGS_EQUAL(1, it.lapsed(later).size());
+}
+
+TEST(vm_directory, relays_are_chosen_by_data_centre_and_work)
+{
+    gateway::relay_set relays;
+    relays.set_vms({{"one", "10.0.0.2:70", "b", 0},
+                    {"two", "10.0.0.3:70", "b", 0},
+                    {"mute", "", "b", 0}});
+    CHECK(relays.choose("c", now) == nullptr);
+    const auto first = relays.choose("b", now)->name;
+    relays.on_sent(first, now);
+    CHECK(relays.choose("b", now)->name != first);
+    relays.on_failure(relays.choose("b", now)->name, now);
+    STRCMP_EQUAL(first.c_str(), relays.choose("b", now)->name.c_str());
+    // Owed an answer for long: paused or dead.
+    CHECK(relays.choose("b", now + milliseconds(400)) == nullptr);
+    CHECK(relays.choose("b", now + milliseconds(2'500)) != nullptr);
+}
--- /dev/null
+++ b/unittests/http/client_test.cpp
@@ -0,0 +1,202 @@
+// Tests of the HTTP client against raw bytes of servers.
+#include "loop_peer.hpp"
+
+#include "mimosacroft/http/client.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace http_test;
+using http::exchange_failure;
+
+TEST_GROUP(client)
+{
+    io_context io;
+    tcp::acceptor acceptor{io, any_port};
+    tcp::endpoint at = acceptor.local_endpoint();
+    std::map<http::exchange_number, http::response> replies;
+    std::map<http::exchange_number, exchange_failure> failures;
+    http::client client{
+        io,
+        {.match =
+             [](auto, const http::response& reply)
+         {
+             const auto id = http::find(reply.headers, "id");
+             return id && *id == "other" ? http::reply_match::stray
+                                         : http::reply_match::belongs;
+         },
+         .on_reply = [this](auto n, http::response&& reply)
+         { replies[n] = std::move(reply); },
+         .on_failure = [this](auto n, auto why) { failures[n] = why; }}};
+    loop_peer peer{io};
+
+    TEST_TEARDOWN()
+    {
+        peer.close();
+        http::error_code ignored;
+        acceptor.close(ignored);
+        io.restart();
+        io.run_for(base::milliseconds(5));
+    }
+
+    /// Sends a request, and answers it with these bytes once it is there.
+    void exchange(http::exchange_number n, const std::string& bytes)
+    {
+        if (!peer.accepted())
+            peer.accept(acceptor);
+        peer.forget();
+        client.send(n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+        CHECK(run_until(io, [&] { return !peer.got().empty(); }));
+        peer.send(bytes);
+    }
+
+    void wait_for(http::exchange_number n)
+    {
+        CHECK(run_until(
+            io, [&] { return replies.contains(n) || failures.contains(n); }));
+    }
+};
+
+TEST(client, takes_an_answer_and_uses_the_connection_again)
+{
+    for (http::exchange_number n = 1; n <= 3; ++n)
+    {
+        exchange(n, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        wait_for(n);
+        STRCMP_EQUAL("ok", replies.at(n).body.c_str());
+    }
+    LONGS_EQUAL(1, client.opened());
+}
+
+TEST(client, a_connection_that_was_idle_for_long_is_not_used_if_so_asked)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(1);
+    loop_peer second{io};
+    second.accept(acceptor);
+    client.send(2, at, {"GET", "/a", {}, ""}, {base::milliseconds(0)});
+    CHECK(run_until(io, [&] { return second.accepted(); }));
+    LONGS_EQUAL(2, client.opened());
+}
+
+TEST(client, an_interim_answer_is_passed_over)
+{
+    exchange(1, "HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(1);
+    LONGS_EQUAL(200, replies.at(1).status);
+}
+
+TEST(client, an_answer_to_another_request_is_skipped)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    wait_for(1);
+    STRCMP_EQUAL("yes", replies.at(1).body.c_str());
+    // Nothing more is trusted on that connection.
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+}
+
+TEST(client, bytes_after_an_answer_end_the_connection_not_the_answer)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500");
+    wait_for(1);
+    STRCMP_EQUAL("ok", replies.at(1).body.c_str());
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+}
+
+TEST(client, bytes_on_an_idle_connection_end_it)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(1);
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+    CHECK(failures.empty());
+}
+
+TEST(client, a_cut_answer_is_malformed_and_a_reset_is_a_loss)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart");
+    peer.close();
+    wait_for(1);
+    CHECK(failures.at(1) == exchange_failure::malformed);
+}
+
+TEST(client, a_reset_before_the_answer_is_a_loss)
+{
+    peer.accept(acceptor);
+    client.send(1, at, {"GET", "/a", {}, ""});
+    CHECK(run_until(io, [&] { return !peer.got().empty(); }));
+    peer.close(true);
+    wait_for(1);
+    CHECK(failures.at(1) == exchange_failure::lost);
+}
+
+TEST(client, an_answer_without_a_length_ends_with_its_connection)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\n\r\nall of it");
+    io.restart();
+    io.run_for(base::milliseconds(20));
+    CHECK(replies.empty());
+    peer.close();
+    wait_for(1);
+    STRCMP_EQUAL("all of it", replies.at(1).body.c_str());
+}
+
+TEST(client, an_answer_without_a_length_that_is_reset_is_not_whole)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\n\r\npart");
+    io.restart();
+    io.run_for(base::milliseconds(20));
+    peer.close(true);
+    wait_for(1);
+    CHECK(failures.at(1) == exchange_failure::lost);
+}
+
+TEST(client, nonsense_is_malformed)
+{
+    exchange(1, "\x01\x02 nonsense\r\n\r\n");
+    wait_for(1);
+    CHECK(failures.at(1) == exchange_failure::malformed);
+}
+
+TEST(client, without_a_listener_nothing_was_sent)
+{
+    const auto nobody = free_endpoint(io);
+    client.send(1, nobody, {"GET", "/a", {}, ""});
+    wait_for(1);
+    CHECK(failures.at(1) == exchange_failure::not_sent);
+}
+
+TEST(client, a_dropped_exchange_ends_its_connection_in_silence)
+{
+    peer.accept(acceptor);
+    client.send(1, at, {"GET", "/a", {}, ""});
+    CHECK(run_until(io, [&] { return !peer.got().empty(); }));
+    client.drop(1);
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+    CHECK(replies.empty());
+    CHECK(failures.empty());
+}
+
+TEST(client, idle_connections_end_before_the_peers_time)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3\r\n"
+                "Content-Length: 2\r\n\r\nok");
+    wait_for(1);
+    const auto now = std::chrono::steady_clock::now();
+    client.sweep(now + base::milliseconds(2'000));
+    io.restart();
+    io.run_for(base::milliseconds(10));
+    CHECK_FALSE(peer.ended());
+    client.sweep(now + base::milliseconds(2'600));
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+}
+
+TEST(client, an_announced_close_is_believed)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                "Content-Length: 2\r\n\r\nok");
+    wait_for(1);
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+}
--- /dev/null
+++ b/unittests/http/loop_peer.hpp
@@ -0,0 +1,113 @@
+// A peer of the code under test that sends and reads raw bytes on loopback,
+// on the same event loop.
+#ifndef UNITTESTS_HTTP_LOOP_PEER_HPP
+#define UNITTESTS_HTTP_LOOP_PEER_HPP
+
+#include "mimosacroft/http/asio.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <string>
+
+namespace http_test
+{
+
+using namespace mimosacroft;
+using http::tcp;
+using http::asio::io_context;
+
+/// Far longer than anything here takes; a test that reaches it has failed.
+inline constexpr base::seconds patience{10};
+
+inline const tcp::endpoint any_port{http::asio::ip::address_v4::loopback(), 0};
+
+/// Runs the loop until something holds; false if it never does.
+inline bool run_until(io_context& io, const std::function<bool()>& holds)
+{
+    const auto due = std::chrono::steady_clock::now() + patience;
+    while (!holds() && std::chrono::steady_clock::now() < due)
+    {
+        io.restart();
+        io.run_for(base::milliseconds(5));
+    }
+    return holds();
+}
+
+/// A free port of loopback.
+inline tcp::endpoint free_endpoint(io_context& io)
+{
+    return tcp::acceptor(io, any_port).local_endpoint();
+}
+
+class loop_peer
+{
+public:
+    explicit loop_peer(io_context& io) : socket_(io) {}
+
+    void connect(const tcp::endpoint& to)
+    {
+        socket_.connect(to);
+        start();
+    }
+
+    void accept(tcp::acceptor& from)
+    {
+        from.async_accept(socket_,
+                          [this](const http::error_code& ec)
+                          {
+                              if (ec == http::asio::error::operation_aborted)
+                                  return;
+                              accepted_ = !ec;
+                              if (accepted_)
+                                  start();
+                          });
+    }
+
+    void send(const std::string& bytes)
+    {
+        http::asio::write(socket_, http::asio::buffer(bytes));
+    }
+
+    /// Ends the connection, with a reset if wanted.
+    void close(bool reset = false)
+    {
+        http::error_code ignored;
+        if (reset)
+            socket_.set_option(http::asio::socket_base::linger(true, 0),
+                               ignored);
+        socket_.close(ignored);
+    }
+
+    bool accepted() const { return accepted_; }
+    bool ended() const { return ended_; }
+    const std::string& got() const { return got_; }
+    void forget() { got_.clear(); }
+
+private:
+    // A handler that runs after the peer is gone must not touch it.
+    void start()
+    {
+        socket_.async_read_some(
+            http::asio::buffer(buf_),
+            [this](const http::error_code& ec, std::size_t n)
+            {
+                if (ec == http::asio::error::operation_aborted)
+                    return;
+                got_.append(buf_.data(), n);
+                ended_ = static_cast<bool>(ec);
+                if (!ended_)
+                    start();
+            });
+    }
+
+    tcp::socket socket_;
+    std::array<char, 4096> buf_{};
+    std::string got_;
+    bool accepted_ = false;
+    bool ended_ = false;
+};
+
+} // namespace http_test
+
+#endif
--- /dev/null
+++ b/unittests/http/server_test.cpp
@@ -0,0 +1,171 @@
+// Tests of the HTTP server against raw bytes of callers.
+#include "loop_peer.hpp"
+
+#include "mimosacroft/http/server.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+#include <vector>
+
+using namespace http_test;
+
+TEST_GROUP(server)
+{
+    io_context io;
+    tcp::endpoint at = free_endpoint(io);
+    std::vector<std::pair<http::request_number, http::request>> requests;
+    std::vector<http::request_number> left;
+    http::server server{
+        io,
+        at,
+        {.on_request = [this](http::request_number n, http::request&& message)
+         { requests.emplace_back(n, std::move(message)); },
+         .on_leave = [this](http::request_number n) { left.push_back(n); }},
+        {.header_bytes = 400,
+         .body_bytes = 64,
+         .header_time = base::milliseconds(2'000),
+         .idle_time = base::milliseconds(5'000)}};
+    loop_peer caller{io};
+
+    TEST_SETUP()
+    {
+        caller.connect(at);
+    }
+    // What still runs refers to the members above.
+    TEST_TEARDOWN()
+    {
+        caller.close();
+        io.restart();
+        io.run_for(base::milliseconds(5));
+    }
+
+    void wait_for(std::size_t n)
+    {
+        CHECK(run_until(io, [&] { return requests.size() >= n; }));
+    }
+
+    void answer(std::size_t n, const std::string& body = "ok")
+    {
+        server.answer(requests.at(n).first, {200, {}, body});
+    }
+
+    void expect(const std::string& text)
+    {
+        CHECK(run_until(
+            io, [&] { return caller.got().find(text) != std::string::npos; }));
+    }
+};
+
+TEST(server, answers_and_keeps_the_connection)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        caller.send("GET /a?b HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\n\r\n");
+        wait_for(n + 1);
+        STRCMP_EQUAL("/a?b", requests[n].second.target.c_str());
+        answer(n, "body" + std::to_string(n));
+        expect("body" + std::to_string(n));
+    }
+    LONGS_EQUAL(1, server.connections());
+}
+
+TEST(server, reads_bodies_with_a_length_and_in_chunks)
+{
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    wait_for(1);
+    STRCMP_EQUAL("body", requests[0].second.body.c_str());
+    answer(0);
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+    wait_for(2);
+    STRCMP_EQUAL("body", requests[1].second.body.c_str());
+}
+
+TEST(server, pipelined_requests_are_answered_in_order)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    LONGS_EQUAL(1, requests.size());
+    answer(0, "first");
+    wait_for(2);
+    answer(1, "second");
+    expect("second");
+    CHECK(caller.got().find("first") < caller.got().find("second"));
+}
+
+TEST(server, refuses_what_it_cannot_read_and_ends_the_connection)
+{
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"NONSENSE\r\n\r\n", " 400 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         " 400 "},
+        {"GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(500, 'x') +
+             "\r\n\r\n",
+         " 431 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", " 413 "}};
+    for (const auto& [bytes, status] : cases)
+    {
+        loop_peer other{io};
+        other.connect(at);
+        other.send(bytes);
+        CHECK(run_until(io, [&] { return other.ended(); }));
+        CHECK(other.got().find(status) != std::string::npos);
+        CHECK(other.got().find("Connection: close") != std::string::npos);
+    }
+    CHECK(requests.empty());
+}
+
+TEST(server, tells_when_a_caller_leaves_and_drops_the_late_answer)
+{
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    caller.close();
+    CHECK(run_until(io, [&] { return !left.empty(); }));
+    LONGS_EQUAL(requests[0].first, left[0]);
+    answer(0);
+    LONGS_EQUAL(0, server.connections());
+}
+
+TEST(server, ends_idle_connections_and_times_slow_heads_out)
+{
+    caller.send("GET /a HT");
+    io.restart();
+    io.run_for(base::milliseconds(50));
+    const auto now = std::chrono::steady_clock::now();
+    server.sweep(now + base::milliseconds(1'000));
+    LONGS_EQUAL(1, server.connections());
+    server.sweep(now + base::milliseconds(2'500));
+    expect(" 408 ");
+    loop_peer idle{io};
+    idle.connect(at);
+    CHECK(run_until(io, [&] { return server.connections() >= 1; }));
+    io.restart();
+    io.run_for(base::milliseconds(20));
+    server.sweep(std::chrono::steady_clock::now() + base::seconds(6));
+    CHECK(run_until(io, [&] { return idle.ended(); }));
+}
+
+TEST(server, announces_its_stop_and_still_answers)
+{
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    server.announce_close();
+    server.close_idle();
+    LONGS_EQUAL(1, server.in_flight());
+    answer(0);
+    expect("Connection: close");
+    CHECK(run_until(io, [&] { return caller.ended(); }));
+    loop_peer late{io};
+    CHECK_THROWS(boost::system::system_error, late.connect(at));
+}
+
+TEST(server, large_answers_arrive_whole_at_a_slow_reader)
+{
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    const std::string body(8 << 20, 'x');
+    answer(0, body);
+    CHECK(run_until(io, [&] { return caller.got().size() >= body.size(); }));
+}
--- /dev/null
+++ b/unittests/platform/messages_test.cpp
@@ -0,0 +1,162 @@
+// Tests of the translation of the platform's messages, on examples of our own.
+#include "platform/messages.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mimosacroft;
+using base::milliseconds;
+
+TEST_GROUP(messages){static http::request request(){
+    return {"POST",
+            "/a/b?c=d",
+            {{"Host", "h.example"},
+             {"Mimosacroft-Request-Id", "r1"},
+             {"Mimosacroft-Deadline-Ms", "1500"},
+             {"Mimosacroft-Expect-Instance", "forged"},
+             {"Connection", "keep-alive, X-Hop"},
+             {"X-Hop", "1"},
+             {"X-Kept", "2"},
+             {"Content-Length", "4"}},
+            "body"};
+}
+
+static std::string header(const http::header_list& in, const char* name)
+{
+    return std::string(http::find(in, name).value_or("none"));
+}
+}
+;
+
+TEST(messages, a_request_is_decoded_and_passed_on_with_what_is_left)
+{
+    auto decoded = platform::decode_request(request());
+    CHECK(decoded.has_value());
+    CHECK(decoded->deadline == milliseconds(1'500));
+    STRCMP_EQUAL("r1", decoded->id.c_str());
+    gateway::send_effect send;
+    send.server_id = "s1";
+    send.time_left = milliseconds(1'450);
+    send.request =
+        std::make_shared<const gateway::caller_request>(std::move(*decoded));
+    const auto out = platform::encode_request(send);
+    STRCMP_EQUAL("POST", out.method.c_str());
+    STRCMP_EQUAL("/a/b?c=d", out.target.c_str());
+    STRCMP_EQUAL("body", out.body.c_str());
+    STRCMP_EQUAL("1450",
+                 header(out.headers, "mimosacroft-deadline-ms").c_str());
+    STRCMP_EQUAL("s1",
+                 header(out.headers, "mimosacroft-expect-instance").c_str());
+    STRCMP_EQUAL("r1", header(out.headers, "mimosacroft-request-id").c_str());
+    STRCMP_EQUAL("2", header(out.headers, "x-kept").c_str());
+    STRCMP_EQUAL("none", header(out.headers, "x-hop").c_str());
+    STRCMP_EQUAL("none", header(out.headers, "connection").c_str());
+    STRCMP_EQUAL("none", header(out.headers, "content-length").c_str());
+}
+
+TEST(messages, a_request_without_host_or_id_is_refused)
+{
+    for (const char* name : {"Host", "Mimosacroft-Request-Id"})
+    {
+        auto it = request();
+        std::erase_if(it.headers, [name](const http::header& one)
+                      { return one.name == name; });
+        CHECK_FALSE(platform::decode_request(std::move(it)).has_value());
+    }
+}
+
+TEST(messages, odd_deadlines)
+{
+    const auto deadline_of = [](const char* text)
+    {
+        auto it = request();
+        it.headers[2].value = text;
+        return platform::decode_request(std::move(it))->deadline;
+    };
+    CHECK(deadline_of("0") == milliseconds(0));
+    CHECK(deadline_of("-5") == milliseconds(0));
+    CHECK(deadline_of("12.9") == milliseconds(12));
+    CHECK(deadline_of("1e300") == milliseconds(3'600'000));
+    CHECK_FALSE(deadline_of("soon").has_value());
+    CHECK_FALSE(deadline_of("").has_value());
+}
+
+TEST(messages, a_servers_words_on_its_work_are_decoded)
+{
+    auto good = platform::decode_reply({200,
+                                        {{"Mimosacroft-Server-Stamp", "sig"},
+                                         {"Mimosacroft-Server-Load", "1,2,3"}},
+                                        "x"});
+    CHECK(good.executed);
+    STRCMP_EQUAL("sig", good.signature.c_str());
+    LONGS_EQUAL(2, good.load->waiting);
+    CHECK_FALSE(
+        platform::decode_reply({503, {{"Mimosacroft-Not-Executed", "1"}}, ""})
+            .executed);
+    CHECK(platform::decode_reply({503, {}, ""}).executed);
+    const auto other = platform::decode_reply({421, {}, ""});
+    CHECK_FALSE(other.executed);
+    CHECK(other.misdirected);
+    CHECK_FALSE(
+        platform::decode_reply({200, {{"Mimosacroft-Server-Load", "1,x"}}, ""})
+            .load.has_value());
+}
+
+TEST(messages, answers_of_other_requests_are_told_apart)
+{
+    const auto match = [](http::header_list headers)
+    { return platform::match_reply("r1", {200, std::move(headers), ""}); };
+    CHECK(match({{"Mimosacroft-Request-Id", "r1"}}) ==
+          http::reply_match::belongs);
+    CHECK(match({{"Mimosacroft-Request-Id", "r0"}}) ==
+          http::reply_match::stray);
+    CHECK(match({{"Content-Encoding", "gzip"}}) == http::reply_match::unusable);
+}
+
+TEST(messages, a_merged_answer_names_its_parts)
+{
+    gateway::merged merged;
+    merged.signatures = {"a", "b"};
+    merged.missing = 1;
+    merged.records = "0123456789abcdef";
+    const auto out = platform::encode_answer(std::move(merged));
+    LONGS_EQUAL(200, out.status);
+    STRCMP_EQUAL("a, b",
+                 header(out.headers, "mimosacroft-part-stamps").c_str());
+    STRCMP_EQUAL("1", header(out.headers, "mimosacroft-missing-parts").c_str());
+    STRCMP_EQUAL("0123456789abcdef", out.body.c_str());
+}
+
+TEST(messages, refusals_have_their_status_and_time_to_return)
+{
+    const auto status_of = [](gateway::refusal why)
+    {
+        return platform::encode_answer(gateway::refused{why, std::nullopt})
+            .status;
+    };
+    LONGS_EQUAL(503, status_of(gateway::refusal::no_configuration));
+    LONGS_EQUAL(404, status_of(gateway::refusal::no_such_search));
+    LONGS_EQUAL(503, status_of(gateway::refusal::overloaded));
+    LONGS_EQUAL(502, status_of(gateway::refusal::failed));
+    LONGS_EQUAL(504, status_of(gateway::refusal::timed_out));
+    const auto out = platform::encode_answer(
+        gateway::refused{gateway::refusal::overloaded, milliseconds(1'045)});
+    STRCMP_EQUAL("1.045", header(out.headers, "retry-after").c_str());
+}
+
+TEST(messages, a_servers_answer_is_passed_on_unchanged)
+{
+    gateway::server_reply reply;
+    reply.message = {404,
+                     {{"Mimosacroft-Server-Stamp", "sig"},
+                      {"Mimosacroft-Server-Load", "1,2,3"},
+                      {"Keep-Alive", "timeout=5"},
+                      {"X-Own", "1"}},
+                     "gone"};
+    const auto out = platform::encode_answer(std::move(reply));
+    LONGS_EQUAL(404, out.status);
+    STRCMP_EQUAL("gone", out.body.c_str());
+    STRCMP_EQUAL("sig",
+                 header(out.headers, "mimosacroft-server-stamp").c_str());
+    STRCMP_EQUAL("1", header(out.headers, "x-own").c_str());
+    STRCMP_EQUAL("none", header(out.headers, "keep-alive").c_str());
+}
