--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -47,7 +47,8 @@
 
 struct follower_options
 {
-    /// Between two calls; keeps a busy kind from using up the store's rate.
+    /// From the start of one call to the next; keeps a busy kind from using up
+    /// the store's rate.
     base::milliseconds pace{400};
     /// A store that falls silent keeps its connections; only a watch that is
     /// not answered in time shows it, and news must not wait for long then.
@@ -75,6 +76,8 @@
     void on_history_gone(base::instant now);
     /// The call failed or was refused. `jitter` from 0 to 1 spreads the VMs.
     void on_failure(base::instant now, double jitter);
+    /// After a failure: another source can be asked without a pause.
+    void retry_at_once(base::instant now) { due_ = now; }
 
     /// Whether a whole list was taken since the start.
     bool is_complete() const { return complete_; }
@@ -96,6 +99,7 @@
     bool under_way_ = false;
     unsigned failures_ = 0;
     base::instant due_{};
+    base::instant started_{}; ///< the last call
     base::instant last_success_{};
 };
 
--- /dev/null
+++ b/include/mimosacroft/gateway/object_sources.hpp
@@ -0,0 +1,53 @@
+// Where a VM reads the objects of the store from. Inside a data centre the VMs
+// form a tree: the first reads from the store, the others from their parent.
+// When a source fails the next one is taken: an ancestor, the store, other VMs.
+#ifndef MIMOSACROFT_GATEWAY_OBJECT_SOURCES_HPP
+#define MIMOSACROFT_GATEWAY_OBJECT_SOURCES_HPP
+
+#include "mimosacroft/base/time.hpp"
+#include "mimosacroft/gateway/vm_directory.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace mimosacroft::gateway
+{
+
+struct object_source
+{
+    std::string address; ///< of a VM, ip:port; empty for the store
+    base::instant avoid_until{};
+
+    bool is_store() const { return address.empty(); }
+};
+
+class object_sources
+{
+public:
+    object_sources();
+
+    /// Takes the VMs that are known now, and addresses to try when all else
+    /// fails. What was observed of sources that stay is kept.
+    void set(const vm_entry& own, const std::vector<vm_entry>& others,
+             const std::vector<std::string>& seeds);
+
+    /// The source to be asked now.
+    const object_source& current(base::instant now) const;
+    /// Whether current() has not failed lately.
+    bool has_usable(base::instant now) const;
+
+    void on_failure(const std::string& address, base::instant now);
+
+    const std::vector<object_source>& all() const { return sources_; }
+
+private:
+    std::vector<object_source> sources_; ///< best first; one is the store
+};
+
+/// Children of a VM in the tree of its data centre.
+inline constexpr std::size_t tree_width = 8;
+
+} // namespace mimosacroft::gateway
+
+#endif
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -125,6 +125,12 @@
     void on_caller(http::request_number number, http::request&& message);
     void on_leave(http::request_number number);
     void on_peer(http::request_number number, http::request&& message);
+    void on_spread(http::request_number number, const spread_request& request);
+    void serve_spread(const std::string& kind, instant at);
+    bool answer_spread(http::request_number number,
+                       const spread_request& request, instant due, instant at);
+    store_watch* watch_of(const std::string& kind);
+    void set_fleet();
     void on_peer_reply(http::exchange_number number, http::response&& message);
     void answer(gateway::answer_effect&& it);
     void on_ready_question(http::request_number number);
@@ -168,6 +174,14 @@
     http::server callers_;
     std::optional<http::server> peers_; ///< other VMs; none without an address
     http::client relays_;
+    /// Other VMs that wait for changes.
+    struct spread_waiter
+    {
+        http::request_number number = 0;
+        spread_request request;
+        instant due{};
+    };
+    std::vector<spread_waiter> spread_waiters_;
     http::asio::signal_set signals_;
     asio_timer timer_;
     instant armed_ = base::never;
@@ -221,15 +235,19 @@
           {.on_changes = [this](const auto& it) { on_configuration(it); },
            .on_list = [](const auto&) {},
            .on_failure = [this](const auto& it)
-           { on_store_failure("configuration", it); }},
+           { on_store_failure("configuration", it); },
+           .on_progress = [this]
+           { serve_spread(configuration_.kind(), now()); }},
+          random_seed()),
+      servers_(
+          io_, std::string(platform::servers_kind), start.store_address,
+          {.pace = servers_pace},
+          {.on_changes = [this](const auto& it) { on_servers(it); },
+           .on_list = [this](const auto& it) { on_server_list(it); },
+           .on_failure = [this](const auto& it)
+           { on_store_failure("servers", it); },
+           .on_progress = [this] { serve_spread(servers_.kind(), now()); }},
           random_seed()),
-      servers_(io_, std::string(platform::servers_kind), start.store_address,
-               {.pace = servers_pace},
-               {.on_changes = [this](const auto& it) { on_servers(it); },
-                .on_list = [this](const auto& it) { on_server_list(it); },
-                .on_failure = [this](const auto& it)
-                { on_store_failure("servers", it); }},
-               random_seed()),
       directory_(start.vm),
       vms_(io_, std::string(platform::vms_kind), start.store_address,
            {.pace = vms_pace, .wait = vms_wait},
@@ -271,7 +289,13 @@
         http::server::handlers{
             .on_request = [this](auto number, http::request&& message)
             { on_peer(number, std::move(message)); },
-            .on_leave = [this](auto number) { on_leave(number | peer_bit); }});
+            .on_leave =
+                [this](auto number)
+            {
+                std::erase_if(spread_waiters_, [number](const auto& it)
+                              { return it.number == number; });
+                on_leave(number | peer_bit);
+            }});
 }
 
 template <typename Fn>
@@ -306,8 +330,76 @@
                         platform::encode_answer(std::move(it.reply)));
 }
 
+store_watch* daemon::watch_of(const std::string& kind)
+{
+    for (auto* it : {&configuration_, &servers_})
+        if (it->kind() == kind)
+            return it;
+    return nullptr;
+}
+
+// Whether the request was answered; else it waits for news.
+bool daemon::answer_spread(http::request_number number,
+                           const spread_request& request, instant due,
+                           instant at)
+{
+    const auto* watch = watch_of(request.kind);
+    if (!watch || !watch->is_complete())
+    {
+        peers_->answer(number, encode_spread_unavailable());
+        return true;
+    }
+    const bool is_list = request.call.step == gateway::follow_step::list;
+    auto batch = is_list ? std::optional(watch->cache().list())
+                         : watch->cache().changes_since(request.call.revision);
+    if (!batch)
+    {
+        peers_->answer(number, encode_spread_gone());
+        return true;
+    }
+    if (!is_list && batch->changes.empty() && at < due)
+        return false;
+    const auto age = std::chrono::duration_cast<milliseconds>(watch->age(at));
+    peers_->answer(number, encode_spread_answer({std::move(*batch), age}));
+    return true;
+}
+
+void daemon::on_spread(http::request_number number,
+                       const spread_request& request)
+{
+    const auto at = now();
+    const auto due = at + request.call.wait;
+    if (!answer_spread(number, request, due, at))
+        spread_waiters_.push_back({number, request, due});
+}
+
+void daemon::serve_spread(const std::string& kind, instant at)
+{
+    std::erase_if(spread_waiters_,
+                  [&](const spread_waiter& it)
+                  {
+                      return (kind.empty() || it.request.kind == kind) &&
+                             answer_spread(it.number, it.request, it.due, at);
+                  });
+}
+
+void daemon::set_fleet()
+{
+    const auto others = directory_.others();
+    gateway_.set_fleet(others, directory_.fleet_size());
+    const gateway::vm_entry own{settings_.vm, settings_.peer_address,
+                                settings_.data_centre, 0};
+    for (auto* it : {&configuration_, &servers_})
+        it->sources().set(own, others, settings_.seeds);
+}
+
 void daemon::on_peer(http::request_number number, http::request&& message)
 {
+    if (const auto spread = decode_spread_request(message))
+    {
+        on_spread(number, *spread);
+        return;
+    }
     auto request = decode_relay(message);
     if (!request || stopping_)
     {
@@ -499,7 +591,7 @@
                  {{"peer", "store"}, {"reason", to_string(entry.error())}}});
     }
     report_vms();
-    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
+    set_fleet();
 }
 
 void daemon::on_vm_list(const std::set<std::string>& names)
@@ -507,7 +599,7 @@
     for (const auto& it : directory_.names())
         if (!names.contains(it))
             directory_.remove(it);
-    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
+    set_fleet();
 }
 
 void daemon::arm()
@@ -550,6 +642,7 @@
         peers_->sweep(at);
     ready_.sweep(at);
     note_store_state();
+    serve_spread({}, at);
     log_.flush();
     if (reload_at_ <= at)
         reload();
@@ -610,7 +703,7 @@
 int daemon::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    gateway_.set_fleet(directory_.others(), directory_.fleet_size());
+    set_fleet();
     reload_at_ = now() + reload_period;
     sweep_at_ = now() + sweep_period;
     wait_for_signal();
--- a/lib/entry/relay_codec.cpp
+++ b/lib/entry/relay_codec.cpp
@@ -1,8 +1,9 @@
 // What entry VMs on the platform say to each other.
 #include "mimosacroft/entry/relay_codec.hpp"
 
+#include "mimosacroft/entry/msgpack_body.hpp"
+
 #include <cstdint>
-#include <msgpack.hpp>
 #include <utility>
 #include <vector>
 
@@ -52,29 +53,6 @@
     MSGPACK_DEFINE(kind, reason, missing, signatures, shards, records)
 };
 
-template <typename Message>
-std::string pack(const Message& it)
-{
-    msgpack::sbuffer buf;
-    msgpack::pack(buf, it);
-    return {buf.data(), buf.size()};
-}
-
-template <typename Message>
-base::result<Message> unpack(const std::string& bytes)
-{
-    try
-    {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        return handle.get().as<Message>();
-    }
-    catch (const std::exception& ex)
-    {
-        return base::fail(base::error_code::invalid, base::step::forward, "vm",
-                          ex.what());
-    }
-}
-
 answer_message to_message(const gateway::answer& it)
 {
     answer_message out;
--- /dev/null
+++ b/lib/entry/spread_codec.cpp
@@ -0,0 +1,136 @@
+// How entry VMs read the store's objects from each other.
+#include "mimosacroft/entry/spread_codec.hpp"
+
+#include "mimosacroft/entry/msgpack_body.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace mimosacroft::entry
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+constexpr auto path = "/v1/objects";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_unavailable = 503;
+
+struct request_message
+{
+    std::string kind;
+    bool is_watch = false;
+    std::uint64_t revision = 0;
+    std::int64_t wait_ms = 0;
+
+    MSGPACK_DEFINE(kind, is_watch, revision, wait_ms)
+};
+
+struct change_message
+{
+    std::string name;
+    std::string content;
+    bool deleted = false;
+
+    MSGPACK_DEFINE(name, content, deleted)
+};
+
+struct answer_message
+{
+    std::vector<change_message> changes;
+    std::uint64_t revision = 0;
+    std::int64_t age_ms = 0;
+
+    MSGPACK_DEFINE(changes, revision, age_ms)
+};
+
+http::response plain(unsigned status)
+{
+    http::response out;
+    out.status = status;
+    return out;
+}
+
+} // namespace
+
+http::request encode_spread_request(const spread_request& it,
+                                    const std::string& address)
+{
+    request_message message;
+    message.kind = it.kind;
+    message.is_watch = it.call.step == gateway::follow_step::watch;
+    message.revision = it.call.revision;
+    message.wait_ms = it.call.wait.count();
+    http::request out;
+    out.method = "POST";
+    out.target = path;
+    out.headers.push_back({"Host", address});
+    out.body = pack(message);
+    return out;
+}
+
+std::optional<spread_request> decode_spread_request(const http::request& it)
+{
+    if (it.target != path)
+        return std::nullopt;
+    const auto in = unpack<request_message>(it.body);
+    if (!in)
+        return std::nullopt;
+    spread_request out;
+    out.kind = in->kind;
+    out.call.step =
+        in->is_watch ? gateway::follow_step::watch : gateway::follow_step::list;
+    out.call.revision = in->revision;
+    out.call.wait = milliseconds(in->wait_ms);
+    return out;
+}
+
+http::response encode_spread_answer(const spread_answer& it)
+{
+    answer_message message;
+    for (const auto& change : it.batch.changes)
+        message.changes.push_back(
+            {change.name, change.content, change.deleted});
+    message.revision = it.batch.revision;
+    message.age_ms = it.age.count();
+    auto out = plain(status_ok);
+    out.body = pack(message);
+    return out;
+}
+
+http::response encode_spread_gone()
+{
+    return plain(status_gone);
+}
+
+http::response encode_spread_unavailable()
+{
+    return plain(status_unavailable);
+}
+
+base::result<spread_answer> decode_spread_answer(const http::response& it)
+{
+    const auto failed = [](base::error_code code, const char* text)
+    { return base::fail(code, base::step::spread, "vm", text); };
+    if (it.status == status_gone)
+        return failed(base::error_code::not_found, "the history is gone");
+    if (it.status != status_ok)
+        return failed(base::error_code::unavailable,
+                      "the other VM knows too little");
+    auto in = unpack<answer_message>(it.body);
+    if (!in)
+        return tl::unexpected(in.error());
+    spread_answer out;
+    for (auto& change : in->changes)
+        out.batch.changes.push_back({std::move(change.name),
+                                     std::move(change.content),
+                                     change.deleted});
+    out.batch.revision = in->revision;
+    out.age = milliseconds(in->age_ms);
+    return out;
+}
+
+} // namespace mimosacroft::entry
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -11,9 +11,17 @@
 namespace
 {
 
+using base::milliseconds;
+
 // The store answers in milliseconds; when it is slow, in a quarter of a second
 // and more.
-constexpr base::milliseconds call_margin{1'000};
+constexpr milliseconds call_margin{1'000};
+// Another VM that is paused must not keep news back for long.
+constexpr milliseconds longest_vm_wait{1'200};
+constexpr milliseconds vm_margin{500};
+// One watch of the store and two of VMs, with some margin: what is older comes
+// from a VM that has lost the store.
+constexpr milliseconds oldest_news{5'000};
 constexpr std::size_t largest_reply = std::size_t{32} << 20;
 
 http::client_options client_options_of()
@@ -30,13 +38,11 @@
                          gateway::follower_options options, handlers h,
                          std::uint32_t seed)
     : kind_(std::move(kind)), store_address_(std::move(store_address)),
-      store_(http::endpoint_of(store_address_)), follower_(options),
-      on_(std::move(h)), random_(seed),
+      follower_(options), on_(std::move(h)), random_(seed),
       client_(io,
-              {.on_reply = [this](http::exchange_number, http::response&& reply)
+              {.on_reply = [this](auto, http::response&& reply)
                { on_reply(std::move(reply)); },
-               .on_failure =
-                   [this](http::exchange_number, http::exchange_failure why)
+               .on_failure = [this](auto, http::exchange_failure why)
                { fail(std::string(base::name_of(why))); }},
               client_options_of())
 {
@@ -61,42 +67,95 @@
         fail("no answer in time");
         return;
     }
-    const auto call = follower_.next(now);
-    if (!call || !store_)
+    if (const auto call = follower_.next(now))
+        start(*call, now);
+}
+
+void store_watch::start(const gateway::follow_call& call, base::instant now)
+{
+    const auto& source = sources_.current(now);
+    asked_ = source.address;
+    step_ = call.step;
+    auto sent = call;
+    if (!source.is_store())
+        sent.wait = std::min(sent.wait, longest_vm_wait);
+    const bool waits = call.step == gateway::follow_step::watch;
+    call_due_ = now + (source.is_store() ? call_margin : vm_margin) +
+                (waits ? sent.wait : milliseconds(0));
+    const auto& address = source.is_store() ? store_address_ : asked_;
+    const auto to = http::endpoint_of(address);
+    if (!to)
+    {
+        fail("not an address: " + address);
         return;
-    step_ = call->step;
-    const bool waits = call->step == gateway::follow_step::watch;
-    call_due_ =
-        now + call_margin + (waits ? call->wait : base::milliseconds(0));
-    client_.send(++last_call_, *store_,
-                 platform::encode_call(kind_, *call, store_address_));
+    }
+    store_calls_ += source.is_store() ? 1 : 0;
+    client_.send(++last_call_, *to,
+                 source.is_store()
+                     ? platform::encode_call(kind_, sent, address)
+                     : encode_spread_request({kind_, sent}, address));
 }
 
 void store_watch::fail(const std::string& text)
 {
+    const auto now = std::chrono::steady_clock::now();
     call_due_ = base::never;
-    follower_.on_failure(std::chrono::steady_clock::now(), random_share());
-    on_.on_failure(text);
+    sources_.on_failure(asked_, now);
+    follower_.on_failure(now, random_share());
+    if (sources_.has_usable(now))
+        follower_.retry_at_once(now);
+    if (asked_.empty())
+        on_.on_failure(text);
+}
+
+base::result<spread_answer>
+store_watch::decode(const http::response& reply) const
+{
+    if (!asked_.empty())
+        return decode_spread_answer(reply);
+    auto batch = platform::decode_batch(step_, reply);
+    if (!batch)
+        return tl::unexpected(batch.error());
+    return spread_answer{std::move(*batch), milliseconds(0)};
 }
 
 void store_watch::on_reply(http::response&& reply)
 {
     call_due_ = base::never;
     const auto now = std::chrono::steady_clock::now();
-    const auto batch = platform::decode_batch(step_, reply);
-    if (!batch && batch.error().code == base::error_code::not_found)
+    const auto answer = decode(reply);
+    if (!answer && answer.error().code == base::error_code::not_found)
     {
         follower_.on_history_gone(now);
         return;
     }
-    if (!batch)
+    if (!answer)
+    {
+        fail(to_string(answer.error()));
+        return;
+    }
+    // A VM that lags must not take this one back.
+    const bool lags =
+        !asked_.empty() && answer->batch.revision < follower_.revision();
+    if (lags || answer->age > oldest_news)
     {
-        fail(to_string(batch.error()));
+        fail("the other VM lags");
         return;
     }
-    on_.on_changes(batch->changes);
-    if (const auto names = follower_.on_batch(*batch, now))
+    take(*answer, now);
+}
+
+void store_watch::take(const spread_answer& it, base::instant now)
+{
+    fresh_at_ = std::max(fresh_at_, now - it.age);
+    cache_.apply(it.batch.changes, it.batch.revision);
+    on_.on_changes(it.batch.changes);
+    if (const auto names = follower_.on_batch(it.batch, now))
+    {
+        cache_.keep_only(*names, it.batch.revision);
         on_.on_list(*names);
+    }
+    on_.on_progress();
 }
 
 } // namespace mimosacroft::entry
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -18,6 +18,7 @@
     if (under_way_ || now < due_)
         return std::nullopt;
     under_way_ = true;
+    started_ = now;
     follow_call out;
     out.step = step_;
     out.after = after_;
@@ -49,7 +50,7 @@
     if (step_ == follow_step::watch)
     {
         revision_ = std::max(revision_, batch.revision);
-        due_ = now + options_.pace;
+        due_ = std::max(now, started_ + options_.pace);
         return std::nullopt;
     }
     for (const auto& it : batch.changes)
--- /dev/null
+++ b/lib/gateway/object_sources.cpp
@@ -0,0 +1,119 @@
+// Where a VM reads the objects of the store from.
+#include "mimosacroft/gateway/object_sources.hpp"
+
+#include <algorithm>
+
+namespace mimosacroft::gateway
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+// The store is asked again soon; a VM that failed or lags for longer.
+constexpr milliseconds store_avoidance{600};
+constexpr milliseconds vm_avoidance{3'000};
+// Beyond the tree and the store, this many other VMs are tried.
+constexpr std::size_t most_helpers = 6;
+
+std::vector<std::string> tree_addresses(const vm_entry& own,
+                                        const std::vector<vm_entry>& others)
+{
+    std::vector<vm_entry> mine{own};
+    std::ranges::copy_if(
+        others, std::back_inserter(mine), [&own](const vm_entry& it)
+        { return it.data_centre == own.data_centre && !it.address.empty(); });
+    std::ranges::sort(mine, {}, &vm_entry::name);
+    const auto at = std::ranges::find(mine, own.name, &vm_entry::name);
+    auto rank = static_cast<std::size_t>(at - mine.begin());
+    std::vector<std::string> out;
+    while (rank > 0)
+    {
+        rank = (rank - 1) / tree_width;
+        out.push_back(mine[rank].address);
+    }
+    return out;
+}
+
+// VMs of other data centres first: what keeps this data centre from the store
+// may not keep them.
+std::vector<std::string> helper_addresses(const vm_entry& own,
+                                          const std::vector<vm_entry>& others)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& it : others)
+        if (!it.address.empty())
+            (it.data_centre == own.data_centre ? near : far)
+                .push_back(it.address);
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < std::max(near.size(), far.size()); ++n)
+    {
+        if (n < near.size())
+            out.push_back(near[n]);
+        if (n < far.size())
+            out.push_back(far[n]);
+    }
+    out.resize(std::min(out.size(), most_helpers));
+    return out;
+}
+
+} // namespace
+
+object_sources::object_sources()
+{
+    sources_.emplace_back();
+}
+
+void object_sources::set(const vm_entry& own,
+                         const std::vector<vm_entry>& others,
+                         const std::vector<std::string>& seeds)
+{
+    auto wanted = tree_addresses(own, others);
+    wanted.emplace_back(); // the store
+    std::ranges::copy(helper_addresses(own, others),
+                      std::back_inserter(wanted));
+    std::ranges::copy(seeds, std::back_inserter(wanted));
+    std::vector<object_source> next;
+    for (const auto& address : wanted)
+    {
+        const bool twice =
+            address == own.address ||
+            std::ranges::find(next, address, &object_source::address) !=
+                next.end();
+        if (twice)
+            continue;
+        const auto known =
+            std::ranges::find(sources_, address, &object_source::address);
+        next.push_back(known != sources_.end() ? *known
+                                               : object_source{address, {}});
+    }
+    sources_ = std::move(next);
+}
+
+const object_source& object_sources::current(base::instant now) const
+{
+    const auto usable =
+        std::ranges::find_if(sources_, [now](const object_source& it)
+                             { return it.avoid_until <= now; });
+    if (usable != sources_.end())
+        return *usable;
+    return *std::ranges::min_element(sources_, {}, &object_source::avoid_until);
+}
+
+bool object_sources::has_usable(base::instant now) const
+{
+    return current(now).avoid_until <= now;
+}
+
+void object_sources::on_failure(const std::string& address, base::instant now)
+{
+    const auto it =
+        std::ranges::find(sources_, address, &object_source::address);
+    if (it != sources_.end())
+        it->avoid_until =
+            now + (it->is_store() ? store_avoidance : vm_avoidance);
+}
+
+} // namespace mimosacroft::gateway
