--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -19,7 +19,7 @@
 
 // An answer leaves this much before the objective: the way to the caller and
 // back, a new connection, and the wait for a share of the processor.
-constexpr milliseconds answer_margin{14};
+constexpr milliseconds answer_margin{22};
 // The caller hears of a time-out just before it gives up by itself.
 constexpr milliseconds give_up_margin{15};
 constexpr milliseconds least_deadline{5};
