--- a/include/mimosacroft/entry/event_writer.hpp
+++ b/include/mimosacroft/entry/event_writer.hpp
@@ -15,9 +15,10 @@
 
 struct event_writer_options
 {
-    std::size_t most_bytes = 256 * 1024; ///< that wait for the reader
+    std::size_t most_bytes =
+        std::size_t{256} * 1024; ///< that wait for the reader
     /// Plain lines take no more than this of it.
-    std::size_t most_plain_bytes = 128 * 1024;
+    std::size_t most_plain_bytes = std::size_t{128} * 1024;
 };
 
 class event_writer
--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -45,6 +45,9 @@
     /// Where to read from, beside the store.
     gateway::object_sources& sources() { return sources_; }
 
+    /// Whether other VMs can rely on what is known here.
+    bool can_serve(base::instant now) const;
+
     const std::string& kind() const { return kind_; }
     const gateway::object_cache& cache() const { return cache_; }
     bool is_complete() const { return follower_.is_complete(); }
@@ -74,6 +77,7 @@
     std::uint64_t store_calls_ = 0;
     gateway::follow_step step_ = gateway::follow_step::list;
     std::string asked_; ///< address of the VM asked last; empty for the store
+    base::milliseconds oldest_news_{0};    ///< of the VM asked last
     base::instant call_due_ = base::never; ///< when the call under way fails
     base::instant fresh_at_{};
 };
--- a/include/mimosacroft/gateway/catalog.hpp
+++ b/include/mimosacroft/gateway/catalog.hpp
@@ -67,8 +67,8 @@
 /// What callers may send and for how long.
 struct caller_limits
 {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{1024} * 1024;
     base::milliseconds header_time{10'000};
     base::milliseconds idle_time{60'000};
 };
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -160,6 +160,8 @@
     bool may_retry(const query& q, const part& p) const;
     void fail_part(query& q, std::size_t part);
     void check_done(query& q, base::instant now, effects& out);
+    void check_single(query& q, base::instant now, effects& out);
+    void check_scattered(query& q, base::instant now, effects& out);
     void answer_merged(query& q, base::instant now, effects& out);
     void finish_merged(query& q, merged reply, base::instant now, effects& out);
     void answer_failed(query& q, base::instant now, effects& out);
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -50,9 +50,7 @@
     /// From the start of one call to the next; keeps a busy kind from using up
     /// the store's rate.
     base::milliseconds pace{400};
-    /// A store that falls silent keeps its connections; only a watch that is
-    /// not answered in time shows it, and news must not wait for long then.
-    base::milliseconds wait{2'000};
+    base::milliseconds wait{1'200};
     base::milliseconds first_retry{150};
     base::milliseconds longest_retry{400};
 };
--- a/include/mimosacroft/gateway/object_sources.hpp
+++ b/include/mimosacroft/gateway/object_sources.hpp
@@ -16,7 +16,8 @@
 
 struct object_source
 {
-    std::string address; ///< of a VM, ip:port; empty for the store
+    std::string address;   ///< of a VM, ip:port; empty for the store
+    std::size_t depth = 0; ///< VMs between it and the store, as a rule
     base::instant avoid_until{};
 
     bool is_store() const { return address.empty(); }
@@ -34,6 +35,10 @@
 
     /// The source to be asked now.
     const object_source& current(base::instant now) const;
+    /// How old news from a source may be. A VM gives older news only if it has
+    /// lost its own source; then another one is better.
+    static base::milliseconds oldest_news(const object_source& it);
+
     /// Whether current() has not failed lately.
     bool has_usable(base::instant now) const;
 
@@ -45,6 +50,10 @@
     std::vector<object_source> sources_; ///< best first; one is the store
 };
 
+/// A watch of the store, and one of another VM, wait no longer than this.
+inline constexpr base::milliseconds store_wait{1'200};
+inline constexpr base::milliseconds vm_wait{800};
+
 /// Children of a VM in the tree of its data centre.
 inline constexpr std::size_t tree_width = 8;
 
--- a/include/mimosacroft/http/server.hpp
+++ b/include/mimosacroft/http/server.hpp
@@ -18,8 +18,8 @@
 /// What callers may send, and for how long they may take.
 struct server_limits
 {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{1024} * 1024;
     base::milliseconds header_time{10'000}; ///< from first to last header byte
     base::milliseconds idle_time{60'000};   ///< a kept connection without use
 };
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -231,7 +231,7 @@
                   }}),
       configuration_(
           io_, std::string(platform::configuration_kind), start.store_address,
-          {.pace = configuration_pace},
+          {.pace = configuration_pace, .wait = gateway::store_wait},
           {.on_changes = [this](const auto& it) { on_configuration(it); },
            .on_list = [](const auto&) {},
            .on_failure = [this](const auto& it)
@@ -241,7 +241,7 @@
           random_seed()),
       servers_(
           io_, std::string(platform::servers_kind), start.store_address,
-          {.pace = servers_pace},
+          {.pace = servers_pace, .wait = gateway::store_wait},
           {.on_changes = [this](const auto& it) { on_servers(it); },
            .on_list = [this](const auto& it) { on_server_list(it); },
            .on_failure = [this](const auto& it)
@@ -344,7 +344,7 @@
                            instant at)
 {
     const auto* watch = watch_of(request.kind);
-    if (!watch || !watch->is_complete())
+    if (!watch || !watch->can_serve(at))
     {
         peers_->answer(number, encode_spread_unavailable());
         return true;
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -17,11 +17,9 @@
 // and more.
 constexpr milliseconds call_margin{1'000};
 // Another VM that is paused must not keep news back for long.
-constexpr milliseconds longest_vm_wait{1'200};
-constexpr milliseconds vm_margin{500};
-// One watch of the store and two of VMs, with some margin: what is older comes
-// from a VM that has lost the store.
-constexpr milliseconds oldest_news{5'000};
+constexpr milliseconds vm_margin{400};
+// Whoever asks learns at once that it has to ask elsewhere.
+constexpr milliseconds oldest_served{5'000};
 constexpr std::size_t largest_reply = std::size_t{32} << 20;
 
 http::client_options client_options_of()
@@ -58,6 +56,11 @@
     return std::min(call_due_, follower_.next_due());
 }
 
+bool store_watch::can_serve(base::instant now) const
+{
+    return follower_.is_complete() && age(now) <= oldest_served;
+}
+
 void store_watch::tick(base::instant now)
 {
     client_.sweep(now);
@@ -76,9 +79,10 @@
     const auto& source = sources_.current(now);
     asked_ = source.address;
     step_ = call.step;
+    oldest_news_ = gateway::object_sources::oldest_news(source);
     auto sent = call;
     if (!source.is_store())
-        sent.wait = std::min(sent.wait, longest_vm_wait);
+        sent.wait = std::min(sent.wait, gateway::vm_wait);
     const bool waits = call.step == gateway::follow_step::watch;
     call_due_ = now + (source.is_store() ? call_margin : vm_margin) +
                 (waits ? sent.wait : milliseconds(0));
@@ -137,7 +141,7 @@
     // A VM that lags must not take this one back.
     const bool lags =
         !asked_.empty() && answer->batch.revision < follower_.revision();
-    if (lags || answer->age > oldest_news)
+    if (lags || answer->age > oldest_news_)
     {
         fail("the other VM lags");
         return;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -238,31 +238,41 @@
     query_times_.emplace(q.due, q.number);
 }
 
+// Answers a query if there is nothing more to wait for.
 void gateway::check_done(query& q, instant now, effects& out)
 {
-    const bool all = q.done + q.failed == q.parts.size();
-    if (!q.search->is_scattered())
+    if (q.search->is_scattered())
+        check_scattered(q, now, out);
+    else
+        check_single(q, now, out);
+}
+
+void gateway::check_single(query& q, instant now, effects& out)
+{
+    auto& p = q.parts.front();
+    const bool failed = p.state == part_state::failed;
+    const bool has_answer =
+        p.state == part_state::done || (failed && p.has_reply);
+    const bool misleads = has_answer && !q.search->may_repeat() &&
+                          promises_not_run(p.reply.message.status);
+    if (misleads || (failed && !has_answer))
     {
-        auto& p = q.parts.front();
-        const bool final = p.state == part_state::done ||
-                           (p.state == part_state::failed && p.has_reply);
-        if (final && !q.search->may_repeat() &&
-            promises_not_run(p.reply.message.status))
-        {
-            answer_failed(q, now, out);
-        }
-        else if (final)
-        {
-            out.events.push_back(answer_event(q, p.reply, now));
-            out.answers.push_back({q.number, std::move(p.reply)});
-            close(q, now, out);
-        }
-        else if (all)
-            answer_failed(q, now, out);
-        else
-            schedule(q);
+        answer_failed(q, now, out);
+        return;
+    }
+    if (!has_answer)
+    {
+        schedule(q);
         return;
     }
+    out.events.push_back(answer_event(q, p.reply, now));
+    out.answers.push_back({q.number, std::move(p.reply)});
+    close(q, now, out);
+}
+
+void gateway::check_scattered(query& q, instant now, effects& out)
+{
+    const bool all = q.done + q.failed == q.parts.size();
     const bool in_time = now < q.answer_by;
     if (q.has_least() && (all || !in_time))
         answer_merged(q, now, out);
--- a/lib/gateway/object_sources.cpp
+++ b/lib/gateway/object_sources.cpp
@@ -16,8 +16,11 @@
 constexpr milliseconds vm_avoidance{3'000};
 // Beyond the tree and the store, this many other VMs are tried.
 constexpr std::size_t most_helpers = 6;
+// On top of a wait: the way and the work of a VM.
+constexpr milliseconds wait_margin{300};
 
-std::vector<std::string> tree_addresses(const vm_entry& own,
+// The ancestors, the parent first.
+std::vector<object_source> tree_sources(const vm_entry& own,
                                         const std::vector<vm_entry>& others)
 {
     std::vector<vm_entry> mine{own};
@@ -27,17 +30,19 @@
     std::ranges::sort(mine, {}, &vm_entry::name);
     const auto at = std::ranges::find(mine, own.name, &vm_entry::name);
     auto rank = static_cast<std::size_t>(at - mine.begin());
-    std::vector<std::string> out;
+    std::vector<object_source> out;
     while (rank > 0)
     {
         rank = (rank - 1) / tree_width;
-        out.push_back(mine[rank].address);
+        out.push_back({mine[rank].address, 0, {}});
     }
+    for (std::size_t n = 0; n < out.size(); ++n)
+        out[n].depth = out.size() - 1 - n;
     return out;
 }
 
 // VMs of other data centres first: what keeps this data centre from the store
-// may not keep them.
+// may not keep them, and they do not read from this VM.
 std::vector<std::string> helper_addresses(const vm_entry& own,
                                           const std::vector<vm_entry>& others)
 {
@@ -50,10 +55,10 @@
     std::vector<std::string> out;
     for (std::size_t n = 0; n < std::max(near.size(), far.size()); ++n)
     {
-        if (n < near.size())
-            out.push_back(near[n]);
         if (n < far.size())
             out.push_back(far[n]);
+        if (n < near.size())
+            out.push_back(near[n]);
     }
     out.resize(std::min(out.size(), most_helpers));
     return out;
@@ -70,24 +75,23 @@
                          const std::vector<vm_entry>& others,
                          const std::vector<std::string>& seeds)
 {
-    auto wanted = tree_addresses(own, others);
+    auto wanted = tree_sources(own, others);
     wanted.emplace_back(); // the store
-    std::ranges::copy(helper_addresses(own, others),
-                      std::back_inserter(wanted));
-    std::ranges::copy(seeds, std::back_inserter(wanted));
+    for (const auto& address : helper_addresses(own, others))
+        wanted.push_back({address, 1, {}});
+    for (const auto& address : seeds)
+        wanted.push_back({address, 1, {}});
     std::vector<object_source> next;
-    for (const auto& address : wanted)
+    for (auto& it : wanted)
     {
-        const bool twice =
-            address == own.address ||
-            std::ranges::find(next, address, &object_source::address) !=
-                next.end();
-        if (twice)
+        const auto same = [&it](const object_source& other)
+        { return other.address == it.address; };
+        if (it.address == own.address || std::ranges::any_of(next, same))
             continue;
-        const auto known =
-            std::ranges::find(sources_, address, &object_source::address);
-        next.push_back(known != sources_.end() ? *known
-                                               : object_source{address, {}});
+        const auto known = std::ranges::find_if(sources_, same);
+        if (known != sources_.end())
+            it.avoid_until = known->avoid_until;
+        next.push_back(std::move(it));
     }
     sources_ = std::move(next);
 }
@@ -102,6 +106,12 @@
     return *std::ranges::min_element(sources_, {}, &object_source::avoid_until);
 }
 
+milliseconds object_sources::oldest_news(const object_source& it)
+{
+    return store_wait + wait_margin +
+           static_cast<int>(it.depth) * (vm_wait + wait_margin);
+}
+
 bool object_sources::has_usable(base::instant now) const
 {
     return current(now).avoid_until <= now;
--- a/unittests/gateway/arrival_budget_test.cpp
+++ b/unittests/gateway/arrival_budget_test.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/gateway/arrival_budget.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <rapidcheck.h>
 #include <vector>
 
@@ -20,7 +21,8 @@
 };
 
 // Whether every window of the arrivals keeps the bound, as the service sees it:
-// requests are those of the window or of the one before, whichever are more.
+// requests are those of the window, of the one before or of the one half a
+// window before, whichever are most.
 bool keeps_bound(const std::vector<arrival>& all, double ratio, double slack,
                  base::duration window)
 {
@@ -35,8 +37,10 @@
     {
         const auto from = first.at;
         const auto extras = count(from, from + window, true);
-        const auto requests = std::max(count(from, from + window, false),
-                                       count(from - window, from, false));
+        const auto half = from - window / 2;
+        const auto requests = std::max({count(from, from + window, false),
+                                        count(from - window, from, false),
+                                        count(half, half + window, false)});
         if (extras > ratio * requests + slack + 1e-9)
             return false;
     }
--- a/unittests/gateway/object_follower_test.cpp
+++ b/unittests/gateway/object_follower_test.cpp
@@ -94,7 +94,7 @@
 
 // The store's silence must show before news may be late: a watch that hangs is
 // given up after its wait and a little.
-TEST(object_follower, a_watch_waits_for_two_seconds_at_most)
+TEST(object_follower, a_watch_waits_no_longer_than_a_silent_store_may)
 {
     next();
     it.on_batch(batch({}, 7, false), now);
--- /dev/null
+++ b/unittests/gateway/object_sources_test.cpp
@@ -0,0 +1,202 @@
+// Tests of where VMs read the store's objects from, and of what they pass on.
+#include "mimosacroft/gateway/object_cache.hpp"
+#include "mimosacroft/gateway/object_sources.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace mimosacroft;
+using base::milliseconds;
+
+namespace
+{
+
+std::vector<gateway::vm_entry> fleet(std::size_t n,
+                                     const std::string& data_centre)
+{
+    std::vector<gateway::vm_entry> out;
+    for (std::size_t it = 0; it < n; ++it)
+    {
+        const auto name = data_centre + std::to_string(100 + it);
+        out.push_back({name, name + ":70", data_centre, 0});
+    }
+    return out;
+}
+
+gateway::object_sources sources_of(const std::vector<gateway::vm_entry>& all,
+                                   std::size_t n,
+                                   const std::vector<std::string>& seeds = {})
+{
+    auto others = all;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(n));
+    gateway::object_sources out;
+    out.set(all[n], others, seeds);
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(object_sources)
+{
+    base::instant now{base::seconds(1'000)};
+};
+
+TEST(object_sources, alone_a_vm_reads_from_the_store)
+{
+    const gateway::object_sources alone;
+    CHECK(alone.current(now).is_store());
+}
+
+TEST(object_sources, one_vm_of_a_data_centre_reads_from_the_store)
+{
+    const auto all = fleet(100, "a");
+    std::size_t readers = 0;
+    for (std::size_t n = 0; n < all.size(); ++n)
+        readers += sources_of(all, n).current(now).is_store() ? 1 : 0;
+    LONGS_EQUAL(1, readers);
+}
+
+// News pass few VMs, and no VM has to pass them on to many.
+TEST(object_sources, the_tree_is_shallow_and_narrow)
+{
+    const auto all = fleet(100, "a");
+    std::map<std::string, std::size_t> children;
+    for (std::size_t n = 0; n < all.size(); ++n)
+    {
+        const auto sources = sources_of(all, n);
+        ++children[sources.current(now).address];
+        const auto store = std::ranges::find_if(
+            sources.all(), [](const auto& it) { return it.is_store(); });
+        CHECK(store - sources.all().begin() <= 3);
+    }
+    for (const auto& [address, n] : children)
+        CHECK(n <= gateway::tree_width);
+}
+
+// Pattern: the store turns some VMs away and serves the others.
+TEST(object_sources, without_the_store_other_data_centres_are_asked)
+{
+    auto all = fleet(3, "a");
+    std::ranges::copy(fleet(2, "b"), std::back_inserter(all));
+    auto first = sources_of(all, 0);
+    CHECK(first.current(now).is_store());
+    first.on_failure("", now);
+    CHECK_FALSE(first.current(now).is_store());
+    CHECK(first.has_usable(now));
+    std::set<std::string> asked;
+    for (int n = 0; n < 4; ++n)
+    {
+        asked.insert(first.current(now).address);
+        first.on_failure(first.current(now).address, now);
+    }
+    CHECK(asked.contains("b100:70"));
+    CHECK(asked.contains("a101:70"));
+    CHECK_FALSE(first.has_usable(now));
+    // The store comes first again.
+    CHECK(first.current(now + milliseconds(700)).is_store());
+}
+
+// Seen with VMs that read from each other while the store turned both away:
+// neither noticed for five seconds. News in a circle get old, and a data centre
+// must leave such a source in time for a configuration to be in force in 3 s.
+TEST(object_sources, news_that_nobody_has_from_the_store_are_too_old_soon)
+{
+    const auto all = fleet(9, "a");
+    const auto child = sources_of(all, 8);
+    const auto& parent = child.current(now);
+    CHECK_FALSE(parent.is_store());
+    const auto noticed =
+        gateway::object_sources::oldest_news(parent) + gateway::vm_wait;
+    CHECK(noticed < milliseconds(3'000 - 500));
+    // In health a parent's news are never as old.
+    CHECK(gateway::store_wait < gateway::object_sources::oldest_news(parent));
+}
+
+TEST(object_sources, helpers_of_other_data_centres_come_before_ones_own)
+{
+    auto all = fleet(3, "a");
+    std::ranges::copy(fleet(2, "b"), std::back_inserter(all));
+    auto first = sources_of(all, 0);
+    first.on_failure("", now);
+    STRCMP_EQUAL("b100:70", first.current(now).address.c_str());
+}
+
+TEST(object_sources, seeds_are_the_last_resort_and_never_oneself)
+{
+    const auto all = fleet(1, "a");
+    auto alone = sources_of(all, 0, {"a100:70", "s:70"});
+    LONGS_EQUAL(2, alone.all().size());
+    alone.on_failure("", now);
+    STRCMP_EQUAL("s:70", alone.current(now).address.c_str());
+}
+
+TEST(object_sources, what_failed_stays_avoided_when_the_fleet_changes)
+{
+    const auto all = fleet(3, "a");
+    auto last = sources_of(all, 2);
+    last.on_failure(last.current(now).address, now);
+    CHECK(last.current(now).is_store());
+    last.set(all[2], {all[0]}, {});
+    CHECK(last.current(now).is_store());
+}
+
+TEST_GROUP(object_cache){};
+
+TEST(object_cache, nothing_is_told_of_before_the_first_list)
+{
+    gateway::object_cache cache;
+    cache.apply({{"a", "1", false}}, 10);
+    CHECK_FALSE(cache.changes_since(9).has_value());
+    CHECK(cache.changes_since(10)->changes.empty());
+}
+
+TEST(object_cache, a_list_takes_away_what_it_lacks)
+{
+    gateway::object_cache cache;
+    cache.apply({{"a", "1", false}, {"b", "2", false}}, 10);
+    cache.apply({{"b", "3", false}}, 12);
+    cache.keep_only({"b"}, 12);
+    LONGS_EQUAL(1, cache.list().changes.size());
+    const auto news = cache.changes_since(10);
+    LONGS_EQUAL(12, news->revision);
+    CHECK(std::ranges::any_of(news->changes, [](const auto& it)
+                              { return it.name == "a" && it.deleted; }));
+}
+
+// A reader that lists once and then asks for changes knows what the giver
+// knows.
+TEST(object_cache, a_reader_that_follows_has_the_same_objects)
+{
+    CHECK(rc::check(
+        [](const std::vector<std::pair<std::uint8_t, bool>>& steps)
+        {
+            gateway::object_cache giver;
+            giver.apply({}, 5);
+            std::map<std::string, std::string> reader;
+            std::uint64_t seen = giver.list().revision;
+            std::uint64_t revision = 5;
+            for (const auto& [n, deleted] : steps)
+            {
+                ++revision;
+                const auto name = std::to_string(n % 4);
+                giver.apply({{name, std::to_string(revision), deleted}},
+                            revision);
+                if (n % 3 != 0)
+                    continue;
+                const auto news = giver.changes_since(seen);
+                RC_ASSERT(news.has_value());
+                for (const auto& it : news->changes)
+                    if (it.deleted)
+                        reader.erase(it.name);
+                    else
+                        reader[it.name] = it.content;
+                seen = news->revision;
+                std::map<std::string, std::string> all;
+                for (const auto& it : giver.list().changes)
+                    all[it.name] = it.content;
+                RC_ASSERT(all == reader);
+            }
+        }));
+}
