--- a/include/mimosacroft/gateway/arrival_budget.hpp
+++ b/include/mimosacroft/gateway/arrival_budget.hpp
@@ -18,11 +18,13 @@
 {
     double ratio = 0.1;       ///< extra arrivals for each request
     double slack = 0;         ///< extra arrivals in a window without requests
-    base::seconds window{10}; ///< at most 15 s
+    base::seconds window{10}; ///< an even number, at most 14 s
 };
 
 /// Counts of one service at one VM, by seconds. Invariant: in any window the
-/// extra arrivals granted are at most ratio * requests + slack of that VM.
+/// extra arrivals granted are at most ratio * requests + slack of that VM, with
+/// the requests of that window, of the one before or of the one half a window
+/// before, whichever are most.
 class arrival_budget
 {
 public:
@@ -35,7 +37,7 @@
     double used(const arrival_budget_options& options, base::instant now);
 
 private:
-    static constexpr std::size_t bucket_count = 16;
+    static constexpr std::size_t bucket_count = 32; ///< two windows and more
 
     struct bucket
     {
@@ -43,14 +45,11 @@
         std::uint32_t extras = 0;
     };
 
-    struct totals
-    {
-        double requests = 0;
-        double extras = 0;
-    };
-
     void advance(base::instant now);
-    totals sums(const arrival_budget_options& options) const;
+    const bucket& at(std::int64_t second) const;
+    double requests_in(std::int64_t from, std::int64_t to) const;
+    double most_requests(std::int64_t start, std::int64_t window) const;
+    double room(const arrival_budget_options& options) const;
 
     std::array<bucket, bucket_count> buckets_{}; ///< by second, in a ring
     std::int64_t current_ = 0;                   ///< second of the newest one
--- a/lib/gateway/arrival_budget.cpp
+++ b/lib/gateway/arrival_budget.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/gateway/arrival_budget.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace mimosacroft::gateway
 {
@@ -11,7 +12,7 @@
 
 // Requests are counted when they come and extras when they are sent; at the
 // service they arrive a little later, maybe in the next window.
-constexpr double safety = 0.9;
+constexpr double safety = 0.95;
 
 std::int64_t second_of(base::instant at)
 {
@@ -30,19 +31,43 @@
     current_ = std::max(current_, second);
 }
 
-// Extras are summed over one second more than the window, requests over one
-// less: a window may begin inside a second.
-arrival_budget::totals
-arrival_budget::sums(const arrival_budget_options& options) const
+const arrival_budget::bucket& arrival_budget::at(std::int64_t second) const
+{
+    return buckets_[static_cast<std::size_t>(second) % bucket_count];
+}
+
+double arrival_budget::requests_in(std::int64_t from, std::int64_t to) const
+{
+    double out = 0;
+    for (auto second = from; second <= std::min(to, current_); ++second)
+        out += at(second).requests;
+    return out;
+}
+
+// A window starts somewhere inside the second `start`: only seconds that are
+// wholly in it count.
+double arrival_budget::most_requests(std::int64_t start,
+                                     std::int64_t window) const
+{
+    const auto half = window / 2;
+    return std::max({requests_in(start + 1, start + window - 1),
+                     requests_in(start + 1 - half, start + half - 1),
+                     requests_in(start + 1 - window, start - 1)});
+}
+
+// The extra arrivals that every window around the newest second still has room
+// for.
+double arrival_budget::room(const arrival_budget_options& options) const
 {
-    totals out;
     const auto window = options.window.count();
-    for (std::int64_t age = 0; age <= window; ++age)
+    double extras = 0;
+    double out = std::numeric_limits<double>::max();
+    for (auto start = current_; start >= current_ - window; --start)
     {
-        const auto& it =
-            buckets_[static_cast<std::size_t>(current_ - age) % bucket_count];
-        out.extras += it.extras;
-        out.requests += age < window ? it.requests : 0;
+        extras += at(start).extras;
+        const auto most =
+            options.ratio * most_requests(start, window) + options.slack;
+        out = std::min(out, safety * most - extras);
     }
     return out;
 }
@@ -57,9 +82,7 @@
                           base::instant now)
 {
     advance(now);
-    const auto sum = sums(options);
-    if (sum.extras + 1 >
-        safety * (options.ratio * sum.requests + options.slack))
+    if (room(options) < 1)
         return false;
     ++buckets_[static_cast<std::size_t>(current_) % bucket_count].extras;
     return true;
@@ -69,9 +92,11 @@
                             base::instant now)
 {
     advance(now);
-    const auto sum = sums(options);
-    const auto most = safety * (options.ratio * sum.requests + options.slack);
-    return most <= 0 ? 1 : std::min(1.0, sum.extras / most);
+    const auto window = options.window.count();
+    const auto most =
+        safety * (options.ratio * most_requests(current_ - window, window) +
+                  options.slack);
+    return most <= 0 ? 1 : std::clamp(1 - room(options) / most, 0.0, 1.0);
 }
 
 } // namespace mimosacroft::gateway
