--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -36,6 +36,8 @@
     std::uint32_t seed = 1;
     bool hedging = true;
     bool relaying = true; ///< far shards are asked through a VM beside them
+    /// Refuses at once what could not be answered in time.
+    bool admission = true;
     bool partial_answers = true; ///< near the objective, with enough shards
 };
 
@@ -116,6 +118,7 @@
     refused refusal_for(refusal why, const caller_request& request);
     void refuse_query(query& q, refusal why, base::instant now, effects& out);
     bool can_be_served(const search& it, base::instant now) const;
+    bool has_room(const search& it, base::instant now, base::instant due) const;
     void take(query&& q, base::instant now, effects& out);
     void start_parts(query& q, base::instant now, effects& out);
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -35,6 +35,14 @@
 // is refused, while a new attempt may still be in time.
 constexpr int refusal_share = 4;
 
+bool is_enough(std::size_t shards, const search& of)
+{
+    // A rounding error must not turn enough into too little.
+    constexpr double tolerance = 1e-9;
+    return static_cast<double>(shards) + tolerance >=
+           of.least_coverage * static_cast<double>(of.shards.size());
+}
+
 // Callers read these as "has not run and never will". A server that says so by
 // its status alone may have run the request.
 bool promises_not_run(unsigned status)
@@ -112,13 +120,27 @@
 bool gateway::can_be_served(const search& it, instant now) const
 {
     if (!it.is_scattered())
-        return true;
+        return !it.services.empty();
     const auto live =
         std::ranges::count_if(it.shards, [this, now](const std::string& shard)
                               { return servers_.has_live(shard, now); });
-    return live > 0 &&
-           static_cast<double>(live) + 1e-9 >=
-               it.least_coverage * static_cast<double>(it.shards.size());
+    return live > 0 && is_enough(static_cast<std::size_t>(live), it);
+}
+
+// Whether enough shards have a server that is likely to answer by `due`. What
+// queues beyond that only makes others late as well.
+bool gateway::has_room(const search& it, instant now, instant due) const
+{
+    const auto usual = usual_latency(it);
+    const auto in_time = std::ranges::count_if(
+        it.shards,
+        [&](const std::string& shard)
+        {
+            return std::ranges::any_of(
+                servers_.of(shard), [&](const server* s)
+                { return now + estimate(*s, usual, now) <= due; });
+        });
+    return is_enough(static_cast<std::size_t>(in_time), it);
 }
 
 // The objective counts from the caller's first attempt.
@@ -196,6 +218,11 @@
         refuse(number, refusal::no_server, *q.request, out);
         return;
     }
+    if (scattered && options_.admission && !has_room(*found, now, q.started + 2 * found->objective))
+    {
+        refuse(number, refusal::overloaded, *q.request, out);
+        return;
+    }
     take(std::move(q), now, out);
 }
 
--- a/unittests/gateway/scattered_test.cpp
+++ b/unittests/gateway/scattered_test.cpp
@@ -242,3 +242,23 @@
     CHECK(answer != nullptr);
     CHECK(b.now - opened <= milliseconds(70));
 }
+
+// Pattern: three times the usual callers at once. What queues beyond the
+// servers' room would only make others late as well.
+TEST(scattered, what_no_server_has_room_for_is_refused_at_once)
+{
+    for (std::size_t n = 0; n < 4; ++n)
+        for (auto* it : b.it.servers().of("s" + std::to_string(n)))
+        {
+            it->load = gateway::stated_load{2, 60, 2};
+            it->load_at = b.now;
+        }
+    const auto out = b.open("/all/q");
+    CHECK(out.sends.empty());
+    const auto* reply = std::get_if<gateway::refused>(&out.answers.at(0).reply);
+    CHECK(reply->why == gateway::refusal::overloaded);
+    CHECK(reply->retry_after.has_value());
+    // Some queue is no reason: the answer may be late, but it comes.
+    b.now += milliseconds(300);
+    LONGS_EQUAL(4, b.open("/all/q").sends.size());
+}
--- a/unittests/http/loop_peer.hpp
+++ b/unittests/http/loop_peer.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <string>
+#include <tuple>
 
 namespace http_test
 {
@@ -72,11 +73,12 @@
     /// Ends the connection, with a reset if wanted.
     void close(bool reset = false)
     {
+        // A peer that is gone already can't be closed again.
         http::error_code ignored;
         if (reset)
-            socket_.set_option(http::asio::socket_base::linger(true, 0),
-                               ignored);
-        socket_.close(ignored);
+            std::ignore = socket_.set_option(
+                http::asio::socket_base::linger(true, 0), ignored);
+        std::ignore = socket_.close(ignored);
     }
 
     bool accepted() const { return accepted_; }
