--- a/unittests/entry/event_writer_test.cpp
+++ b/unittests/entry/event_writer_test.cpp
@@ -16,7 +16,7 @@
     std::array<int, 2> ends{};
     TEST_SETUP()
     {
-        LONGS_EQUAL(0, ::pipe(ends.data()));
+        LONGS_EQUAL(0, ::pipe2(ends.data(), O_NONBLOCK));
     }
     TEST_TEARDOWN()
     {
