--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -218,7 +218,8 @@
         refuse(number, refusal::no_server, *q.request, out);
         return;
     }
-    if (scattered && options_.admission && !has_room(*found, now, q.started + 2 * found->objective))
+    if (scattered && options_.admission &&
+        !has_room(*found, now, q.started + 2 * found->objective))
     {
         refuse(number, refusal::overloaded, *q.request, out);
         return;
