--- a/include/mimosacroft/http/asio.hpp
+++ b/include/mimosacroft/http/asio.hpp
@@ -29,6 +29,13 @@
 /// `unconfirmed`, which is how a silent peer shows.
 void prepare(tcp::socket& socket, base::milliseconds unconfirmed);
 
+/// Ends a connection. One that is gone already needs no end.
+void close(tcp::socket& socket);
+/// Takes no more connections.
+void close(tcp::acceptor& acceptor);
+/// Ends the sending side only: what was written still arrives.
+void close_sending_side(tcp::socket& socket);
+
 } // namespace mimosacroft::http
 
 #endif
--- a/lib/http/asio.cpp
+++ b/lib/http/asio.cpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
+#include <tuple>
 
 namespace mimosacroft::http
 {
@@ -46,9 +47,10 @@
 {
     // A socket without these options works, only slower to notice a failure.
     error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    std::ignore = socket.set_option(tcp::no_delay(true), ignored);
+    std::ignore = socket.non_blocking(true, ignored);
+    std::ignore =
+        socket.set_option(asio::socket_base::keep_alive(true), ignored);
     set_tcp_option(socket, TCP_KEEPIDLE, probe_after_s);
     set_tcp_option(socket, TCP_KEEPINTVL, probe_every_s);
     set_tcp_option(socket, TCP_KEEPCNT, most_probes);
@@ -56,4 +58,22 @@
                    static_cast<int>(unconfirmed.count()));
 }
 
+void close(tcp::socket& socket)
+{
+    error_code ignored;
+    std::ignore = socket.close(ignored);
+}
+
+void close(tcp::acceptor& acceptor)
+{
+    error_code ignored;
+    std::ignore = acceptor.close(ignored);
+}
+
+void close_sending_side(tcp::socket& socket)
+{
+    error_code ignored;
+    std::ignore = socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 } // namespace mimosacroft::http
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -22,7 +22,7 @@
 namespace beast_http = boost::beast::http;
 using parser_type = beast_http::response_parser<beast_http::string_body>;
 
-constexpr std::size_t read_size = 8 * 1024;
+constexpr std::size_t read_size = std::size_t{8} * 1024;
 // A kept connection is ended this much before the peer would end it, so that no
 // request crosses the peer's close.
 constexpr base::milliseconds idle_margin{500};
@@ -330,8 +330,7 @@
         return;
     ended_ = true;
     number_ = 0;
-    error_code ignored;
-    socket_.close(ignored);
+    close(socket_);
     owner_->remove(shared_from_this());
 }
 
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -19,10 +19,10 @@
 namespace beast_http = boost::beast::http;
 using parser_type = beast_http::request_parser<beast_http::string_body>;
 
-constexpr std::size_t read_size = 8 * 1024;
+constexpr std::size_t read_size = std::size_t{8} * 1024;
 // A caller that sends on while its request is worked on is read no further
 // than this; what it sends then waits in the network.
-constexpr std::size_t most_read_ahead = 64 * 1024;
+constexpr std::size_t most_read_ahead = std::size_t{64} * 1024;
 constexpr base::milliseconds unconfirmed_limit{10'000};
 
 constexpr unsigned status_bad_request = 400;
@@ -253,8 +253,7 @@
     if (!keep_alive_)
     {
         // The caller reads the answer first: only the sending side ends here.
-        error_code ignored;
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        close_sending_side(socket_);
         return;
     }
     if (pending_.empty())
@@ -285,8 +284,7 @@
         return;
     ended_ = true;
     const auto self = shared_from_this();
-    error_code ignored;
-    socket_.close(ignored);
+    close(socket_);
     const auto number = std::exchange(number_, 0);
     owner_->open.erase(number);
     owner_->remove(self);
@@ -334,8 +332,7 @@
 
 server::~server()
 {
-    error_code ignored;
-    impl_->acceptor.close(ignored);
+    close(impl_->acceptor);
     impl_->on.on_leave = [](request_number) {};
     impl_->on.on_request = [](request_number, request&&) {};
     const auto all = impl_->all;
@@ -365,8 +362,7 @@
 
 void server::close_idle()
 {
-    error_code ignored;
-    impl_->acceptor.close(ignored);
+    close(impl_->acceptor);
     const auto all = impl_->all;
     for (const auto& it : all)
         if (it->is_idle())
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -33,8 +33,7 @@
     TEST_TEARDOWN()
     {
         peer.close();
-        http::error_code ignored;
-        acceptor.close(ignored);
+        http::close(acceptor);
         io.restart();
         io.run_for(base::milliseconds(5));
     }
