Entry daemon in parts, a metrics address, and one reader of the store for each data centre

Change: store_feed (what the store says), spread_server (other VMs that read here), entry_metrics (GET /metrics, bounded series). The list of VMs is read first and then followed through the tree of the data centre, as the other kinds; at a fleet's first start it is read after 0.45 s, when all are registered, so that the tree stands at once. A VM that is asked while it starts lets the asker wait up to 0.25 s. A reload takes the budget as well as seeds and grace. base/metrics replaces the daemon's summaries by histograms. Dead code and copies removed: drop_margin, covers, the parse loop, effects::empty, has_live's time.

Ruled out: lists that may be seconds old (a tenth of the price), since a VM that believes itself alone takes too much of the budget. The follower's check of the longest wait moved to object_sources, which now holds that figure; the bound is the same.

--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -4,7 +4,7 @@
 #ifndef MIMOSACROFT_DAEMON_RUNTIME_HPP
 #define MIMOSACROFT_DAEMON_RUNTIME_HPP
 
-#include "mimosacroft/daemon/metrics.hpp"
+#include "mimosacroft/base/metrics.hpp"
 #include "mimosacroft/daemon/recent_answers.hpp"
 #include "mimosacroft/daemon/trace_store.hpp"
 #include "mimosacroft/net/http_client.hpp"
@@ -103,7 +103,7 @@
         return platform_older_;
     }
 
-    daemon::metrics& metrics() { return metrics_; }
+    base::metrics& metrics() { return metrics_; }
     const daemon::trace_store& traces() const { return traces_; }
 
 private:
@@ -126,7 +126,7 @@
     void await_flush(base::instant due);
 
     net::loop loop_;
-    daemon::metrics metrics_;
+    base::metrics metrics_;
     daemon::trace_store traces_;
     recent_answers recent_;
     std::uint64_t config_version_ = 0; ///< as of config_changed_
--- a/include/mimosacroft/entry/event_writer.hpp
+++ b/include/mimosacroft/entry/event_writer.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace mimosacroft::entry
@@ -36,6 +37,11 @@
     void flush();
 
     std::uint64_t left_out() const { return left_out_; }
+    /// Events since the start, also those that were left out.
+    const std::map<core::event_id, std::uint64_t>& counts() const
+    {
+        return counts_;
+    }
     std::size_t waiting_bytes() const { return buf_.size(); }
 
 private:
@@ -46,6 +52,7 @@
     std::string vm_;
     event_writer_options options_;
     std::string buf_;
+    std::map<core::event_id, std::uint64_t> counts_;
     std::uint64_t left_out_ = 0;
     std::uint64_t reported_ = 0; ///< of left_out_
 };
--- a/include/mimosacroft/entry/settings.hpp
+++ b/include/mimosacroft/entry/settings.hpp
@@ -3,6 +3,7 @@
 #define MIMOSACROFT_ENTRY_SETTINGS_HPP
 
 #include "mimosacroft/base/time.hpp"
+#include "mimosacroft/gateway/arrival_budget.hpp"
 
 #include <cstddef>
 #include <map>
@@ -20,12 +21,14 @@
     std::string caller_address;                 ///< ip:port, as all below
     std::string ready_address;
     std::string peer_address;       ///< empty: other VMs can't ask this one
+    std::string metrics_address;    ///< empty: no figures are given
     std::vector<std::string> seeds; ///< peer addresses; may be stale or down
     std::string store_address;
+    /// All VMs of the fleet start now, for the first time.
+    bool is_first_start = false;
 
-    double extra_ratio = 0.1; ///< extra arrivals at a service for each request
-    double extra_slack = 0;   ///< and in each window, for all VMs together
-    base::seconds extra_window{10};
+    /// What repeats may add at each service; the slack is for all VMs together.
+    gateway::arrival_budget_options extra;
     base::milliseconds stop_grace{5'000}; ///< from a signal to a forced end
 
     bool operator==(const settings&) const = default;
--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -30,13 +30,14 @@
         std::function<void(const std::set<std::string>& names)> on_list;
         /// A call to the store failed; `text` says how.
         std::function<void(const std::string& text)> on_failure;
-        /// The cache may have something new for other VMs.
-        std::function<void()> on_progress = [] {};
+        /// A call ended: the cache may have something new for other VMs, and
+        /// the next call may be due.
+        std::function<void()> on_call_ended = [] {};
     };
 
     store_watch(http::asio::io_context& io, std::string kind,
                 std::string store_address, gateway::follower_options options,
-                handlers h, std::uint32_t seed);
+                gateway::watch_waits waits, handlers h, std::uint32_t seed);
 
     /// Makes the call that is due and ends one that takes too long.
     void tick(base::instant now);
@@ -54,6 +55,7 @@
     /// Since all that the store has was known here.
     base::duration age(base::instant now) const { return now - fresh_at_; }
     std::uint64_t store_calls() const { return store_calls_; }
+    http::traffic moved() const { return client_.moved(); }
     /// Whether the last calls failed.
     bool is_failing() const { return follower_.failures() > 0; }
 
@@ -67,6 +69,7 @@
 
     std::string kind_;
     std::string store_address_;
+    base::milliseconds oldest_served_; ///< to other VMs
     gateway::object_follower follower_;
     gateway::object_sources sources_;
     gateway::object_cache cache_;
--- a/include/mimosacroft/gateway/arrival_budget.hpp
+++ b/include/mimosacroft/gateway/arrival_budget.hpp
@@ -19,6 +19,8 @@
     double ratio = 0.1;       ///< extra arrivals for each request
     double slack = 0;         ///< extra arrivals in a window without requests
     base::seconds window{10}; ///< an even number, at most 14 s
+
+    bool operator==(const arrival_budget_options&) const = default;
 };
 
 /// Counts of one service at one VM, by seconds. Invariant: in any window the
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -30,9 +30,8 @@
 {
     std::string data_centre;
     std::map<std::string, std::string> regions; ///< of data centres
-    double extra_ratio = 0.1; ///< extra arrivals for each request
-    double extra_slack = 0;   ///< extra arrivals in a window, all VMs
-    base::seconds extra_window{10};
+    /// Of each service; the slack is for all VMs together.
+    arrival_budget_options extra;
     std::uint32_t seed = 1;
     bool hedging = true;
     bool relaying = true; ///< far shards are asked through a VM beside them
@@ -60,6 +59,8 @@
     /// The other VMs, and how many send to the same servers, this one counted.
     void set_fleet(const std::vector<vm_entry>& others, std::size_t size);
 
+    void set_extra(const arrival_budget_options& it) { options_.extra = it; }
+
     void open(query_number number, caller_request&& request, base::instant now,
               effects& out);
     /// A request that another VM took.
@@ -84,7 +85,11 @@
 
     std::size_t open_queries() const { return queries_.size(); }
     std::size_t open_exchanges() const { return exchanges_.size(); }
+    /// Sends to servers since the start, and how many of them were not the
+    /// first for their part.
+    std::uint64_t sends() const { return sends_; }
     std::uint64_t hedges() const { return hedges_; }
+    std::size_t fleet_size() const { return fleet_size_; }
 
 private:
     struct exchange
@@ -114,10 +119,10 @@
                      const search_ptr& of, base::instant now);
     base::instant answer_time(const query& q);
     void refuse(query_number number, refusal why, const caller_request& request,
-                effects& out);
+                const search_ptr& of, effects& out);
     refused refusal_for(refusal why, const caller_request& request);
     void refuse_query(query& q, refusal why, base::instant now, effects& out);
-    bool can_be_served(const search& it, base::instant now) const;
+    bool can_be_served(const search& it) const;
     bool has_room(const search& it, base::instant now, base::instant due) const;
     void take(query&& q, base::instant now, effects& out);
     void start_parts(query& q, base::instant now, effects& out);
@@ -190,6 +195,7 @@
     splitter splitter_;
     std::minstd_rand random_;
     std::size_t fleet_size_ = 1;
+    std::uint64_t sends_ = 0;
     std::uint64_t hedges_ = 0;
     exchange_number last_exchange_ = 0;
     std::unordered_map<query_number, query> queries_;
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -42,7 +42,7 @@
     follow_step step = follow_step::list;
     std::string after;          ///< list: the last name of the page before
     std::uint64_t revision = 0; ///< watch: from here
-    base::milliseconds wait{0}; ///< watch: for this long
+    base::milliseconds wait{0}; ///< watch: for this long; its source says
 };
 
 struct follower_options
@@ -50,7 +50,6 @@
     /// From the start of one call to the next; keeps a busy kind from using up
     /// the store's rate.
     base::milliseconds pace{400};
-    base::milliseconds wait{1'200};
     base::milliseconds first_retry{150};
     base::milliseconds longest_retry{400};
 };
--- a/include/mimosacroft/gateway/object_sources.hpp
+++ b/include/mimosacroft/gateway/object_sources.hpp
@@ -23,10 +23,18 @@
     bool is_store() const { return address.empty(); }
 };
 
+/// How long a watch waits at its source when there is no news.
+struct watch_waits
+{
+    base::milliseconds store{1'200};
+    base::milliseconds vm{800};
+};
+
 class object_sources
 {
 public:
-    object_sources();
+    object_sources() : object_sources(watch_waits{}) {}
+    explicit object_sources(watch_waits waits);
 
     /// Takes the VMs that are known now, and addresses to try when all else
     /// fails. What was observed of sources that stay is kept.
@@ -37,7 +45,9 @@
     const object_source& current(base::instant now) const;
     /// How old news from a source may be. A VM gives older news only if it has
     /// lost its own source; then another one is better.
-    static base::milliseconds oldest_news(const object_source& it);
+    base::milliseconds oldest_news(const object_source& it) const;
+    /// How long a watch of this source waits.
+    base::milliseconds wait(const object_source& it) const;
 
     /// Whether current() has not failed lately.
     bool has_usable(base::instant now) const;
@@ -47,13 +57,10 @@
     const std::vector<object_source>& all() const { return sources_; }
 
 private:
+    watch_waits waits_;
     std::vector<object_source> sources_; ///< best first; one is the store
 };
 
-/// A watch of the store, and one of another VM, wait no longer than this.
-inline constexpr base::milliseconds store_wait{1'200};
-inline constexpr base::milliseconds vm_wait{800};
-
 /// Children of a VM in the tree of its data centre.
 inline constexpr std::size_t tree_width = 8;
 
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -131,6 +131,8 @@
 {
     query_number number = 0;
     answer reply;
+    search_ptr search;      ///< null if the request belongs to none
+    base::duration took{0}; ///< since the request came
 };
 
 /// What is to be done after a call.
@@ -141,14 +143,11 @@
     std::vector<exchange_number> drops; ///< end these and their connections
     std::vector<answer_effect> answers;
     std::vector<core::log_event> events;
-
-    bool empty() const
-    {
-        return sends.empty() && relays.empty() && drops.empty() &&
-               answers.empty() && events.empty();
-    }
 };
 
+/// Whether `in` of `all` shards are at least the share `least` of them.
+bool covers(std::size_t in, std::size_t all, double least);
+
 enum class part_state
 {
     waiting, ///< no exchange under way; in the queue of its service
--- a/include/mimosacroft/gateway/server_pool.hpp
+++ b/include/mimosacroft/gateway/server_pool.hpp
@@ -110,7 +110,7 @@
     std::span<server* const> of(const std::string& service) const;
 
     /// Whether a service has a server that might answer.
-    bool has_live(const std::string& service, base::instant now) const;
+    bool has_live(const std::string& service) const;
 
     /// Ids of all servers that are listed.
     std::vector<std::string> listed_ids() const;
--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -89,6 +89,7 @@
 
     /// Connections opened since the start.
     std::uint64_t opened() const;
+    traffic moved() const;
 
 private:
     struct impl;
--- a/include/mimosacroft/http/message.hpp
+++ b/include/mimosacroft/http/message.hpp
@@ -2,6 +2,7 @@
 #ifndef MIMOSACROFT_HTTP_MESSAGE_HPP
 #define MIMOSACROFT_HTTP_MESSAGE_HPP
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +11,13 @@
 namespace mimosacroft::http
 {
 
+/// Bytes of messages since the start.
+struct traffic
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
 struct header
 {
     std::string name;
--- a/include/mimosacroft/http/server.hpp
+++ b/include/mimosacroft/http/server.hpp
@@ -63,6 +63,7 @@
     /// Requests handed out and not answered, or whose answer is still written.
     std::size_t in_flight() const;
     std::size_t connections() const;
+    traffic moved() const;
 
 private:
     struct impl;
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -190,8 +190,10 @@
     {
         metrics_.add("mimosa_queries_total{outcome=\"" +
                      std::string(base::name_of(answer.outcome)) + "\"}");
-        metrics_.observe("mimosa_query_seconds", base::to_seconds(answer.took));
-        metrics_.observe("mimosa_query_coverage", query::coverage_of(answer));
+        metrics_.observe_seconds("mimosa_query_seconds",
+                                 base::to_seconds(answer.took));
+        metrics_.observe_share("mimosa_query_coverage",
+                               query::coverage_of(answer));
         traces_.put(answer);
         recent_.add(answer, now());
         const auto it = waiting_.find(answer.ticket);
--- a/lib/entry/event_writer.cpp
+++ b/lib/entry/event_writer.cpp
@@ -65,6 +65,7 @@
 
 void event_writer::write(const core::log_event& event)
 {
+    ++counts_[event.id];
     const bool plain = core::describe(event.id).level == core::severity::info;
     const auto most = plain ? options_.most_plain_bytes : options_.most_bytes;
     if (buf_.size() >= most)
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -18,8 +18,9 @@
 constexpr milliseconds call_margin{1'000};
 // Another VM that is paused must not keep news back for long.
 constexpr milliseconds vm_margin{400};
-// Whoever asks learns at once that it has to ask elsewhere.
-constexpr milliseconds oldest_served{5'000};
+// Whoever asks for older news than this many waits of the store learns at once
+// that it has to ask elsewhere.
+constexpr int oldest_served_waits = 4;
 constexpr std::size_t largest_reply = std::size_t{32} << 20;
 
 http::client_options client_options_of()
@@ -33,15 +34,25 @@
 
 store_watch::store_watch(http::asio::io_context& io, std::string kind,
                          std::string store_address,
-                         gateway::follower_options options, handlers h,
+                         gateway::follower_options options,
+                         gateway::watch_waits waits, handlers h,
                          std::uint32_t seed)
     : kind_(std::move(kind)), store_address_(std::move(store_address)),
-      follower_(options), on_(std::move(h)), random_(seed),
+      oldest_served_(oldest_served_waits * waits.store), follower_(options),
+      sources_(waits), on_(std::move(h)), random_(seed),
       client_(io,
-              {.on_reply = [this](auto, http::response&& reply)
-               { on_reply(std::move(reply)); },
-               .on_failure = [this](auto, http::exchange_failure why)
-               { fail(std::string(base::name_of(why))); }},
+              {.on_reply =
+                   [this](auto, http::response&& reply)
+               {
+                   on_reply(std::move(reply));
+                   on_.on_call_ended();
+               },
+               .on_failure =
+                   [this](auto, http::exchange_failure why)
+               {
+                   fail(std::string(base::name_of(why)));
+                   on_.on_call_ended();
+               }},
               client_options_of())
 {
 }
@@ -58,7 +69,7 @@
 
 bool store_watch::can_serve(base::instant now) const
 {
-    return follower_.is_complete() && age(now) <= oldest_served;
+    return follower_.is_complete() && age(now) <= oldest_served_;
 }
 
 void store_watch::tick(base::instant now)
@@ -79,13 +90,11 @@
     const auto& source = sources_.current(now);
     asked_ = source.address;
     step_ = call.step;
-    oldest_news_ = gateway::object_sources::oldest_news(source);
+    oldest_news_ = sources_.oldest_news(source);
     auto sent = call;
-    if (!source.is_store())
-        sent.wait = std::min(sent.wait, gateway::vm_wait);
-    const bool waits = call.step == gateway::follow_step::watch;
-    call_due_ = now + (source.is_store() ? call_margin : vm_margin) +
-                (waits ? sent.wait : milliseconds(0));
+    if (call.step == gateway::follow_step::watch)
+        sent.wait = sources_.wait(source);
+    call_due_ = now + (source.is_store() ? call_margin : vm_margin) + sent.wait;
     const auto& address = source.is_store() ? store_address_ : asked_;
     const auto to = http::endpoint_of(address);
     if (!to)
@@ -159,7 +168,6 @@
         cache_.keep_only(*names, it.batch.revision);
         on_.on_list(*names);
     }
-    on_.on_progress();
 }
 
 } // namespace mimosacroft::entry
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -35,14 +35,6 @@
 // is refused, while a new attempt may still be in time.
 constexpr int refusal_share = 4;
 
-bool is_enough(std::size_t shards, const search& of)
-{
-    // A rounding error must not turn enough into too little.
-    constexpr double tolerance = 1e-9;
-    return static_cast<double>(shards) + tolerance >=
-           of.least_coverage * static_cast<double>(of.shards.size());
-}
-
 // Callers read these as "has not run and never will". A server that says so by
 // its status alone may have run the request.
 bool promises_not_run(unsigned status)
@@ -101,10 +93,11 @@
 }
 
 void gateway::refuse(query_number number, refusal why,
-                     const caller_request& request, effects& out)
+                     const caller_request& request, const search_ptr& of,
+                     effects& out)
 {
     const auto reply = refusal_for(why, request);
-    out.answers.push_back({number, reply});
+    out.answers.push_back({number, reply, of, {}});
     out.events.push_back(refusal_event(request, reply));
 }
 
@@ -112,19 +105,20 @@
 void gateway::refuse_query(query& q, refusal why, instant now, effects& out)
 {
     const auto reply = refusal_for(why, *q.request);
-    out.answers.push_back({q.number, reply});
+    out.answers.push_back({q.number, reply, q.search, now - q.started});
     out.events.push_back(refusal_event(q, reply, now));
     close(q, now, out);
 }
 
-bool gateway::can_be_served(const search& it, instant now) const
+bool gateway::can_be_served(const search& it) const
 {
     if (!it.is_scattered())
         return !it.services.empty();
     const auto live =
-        std::ranges::count_if(it.shards, [this, now](const std::string& shard)
-                              { return servers_.has_live(shard, now); });
-    return live > 0 && is_enough(static_cast<std::size_t>(live), it);
+        std::ranges::count_if(it.shards, [this](const std::string& shard)
+                              { return servers_.has_live(shard); });
+    return live > 0 && covers(static_cast<std::size_t>(live), it.shards.size(),
+                              it.least_coverage);
 }
 
 // Whether enough shards have a server that is likely to answer by `due`. What
@@ -140,7 +134,8 @@
                 servers_.of(shard), [&](const server* s)
                 { return now + estimate(*s, usual, now) <= due; });
         });
-    return is_enough(static_cast<std::size_t>(in_time), it);
+    return covers(static_cast<std::size_t>(in_time), it.shards.size(),
+                  it.least_coverage);
 }
 
 // The objective counts from the caller's first attempt.
@@ -193,35 +188,35 @@
 {
     if (!catalog_)
     {
-        refuse(number, refusal::no_configuration, request, out);
+        refuse(number, refusal::no_configuration, request, nullptr, out);
         return;
     }
     const auto found = catalog_->match(request.host, request.message.target);
     if (!found)
     {
-        refuse(number, refusal::no_such_search, request, out);
+        refuse(number, refusal::no_such_search, request, nullptr, out);
         return;
     }
     const bool scattered = found->is_scattered();
     auto q = make_query(number, std::move(request), found, now);
     if (q.request->deadline && *q.request->deadline < least_deadline)
     {
-        refuse(number, refusal::no_time, *q.request, out);
+        refuse(number, refusal::no_time, *q.request, found, out);
         return;
     }
     const bool servable =
-        scattered ? can_be_served(*found, now)
-                  : !q.parts.empty() &&
-                        servers_.has_live(q.parts.front().service, now);
+        scattered
+            ? can_be_served(*found)
+            : !q.parts.empty() && servers_.has_live(q.parts.front().service);
     if (!servable)
     {
-        refuse(number, refusal::no_server, *q.request, out);
+        refuse(number, refusal::no_server, *q.request, found, out);
         return;
     }
     if (scattered && options_.admission &&
         !has_room(*found, now, q.started + 2 * found->objective))
     {
-        refuse(number, refusal::overloaded, *q.request, out);
+        refuse(number, refusal::overloaded, *q.request, found, out);
         return;
     }
     take(std::move(q), now, out);
@@ -294,7 +289,8 @@
         return;
     }
     out.events.push_back(answer_event(q, p.reply, now));
-    out.answers.push_back({q.number, std::move(p.reply)});
+    out.answers.push_back(
+        {q.number, std::move(p.reply), q.search, now - q.started});
     close(q, now, out);
 }
 
@@ -331,7 +327,8 @@
 void gateway::finish_merged(query& q, merged reply, instant now, effects& out)
 {
     out.events.push_back(answer_event(q, reply, now));
-    out.answers.push_back({q.number, std::move(reply)});
+    out.answers.push_back(
+        {q.number, std::move(reply), q.search, now - q.started});
     close(q, now, out);
 }
 
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -1,6 +1,8 @@
 // Sends to servers, and what comes of them.
 #include "mimosacroft/gateway/gateway.hpp"
 
+#include "gateway_detail.hpp"
+
 #include "mimosacroft/base/stable_hash.hpp"
 
 #include <algorithm>
@@ -15,9 +17,6 @@
 using base::instant;
 using base::milliseconds;
 
-// A server stops at its deadline and says so; after this it is silent.
-constexpr milliseconds drop_margin{250};
-
 // A part is sent to a second server after this many usual latencies; the more
 // of the budget is used, the later.
 constexpr double hedge_factor = 1.6;
@@ -25,7 +24,6 @@
 constexpr milliseconds least_hedge_delay{8};
 // No server or no budget for a second send: looked at again after this.
 constexpr milliseconds hedge_again{25};
-constexpr std::size_t enough_samples = 20;
 // Until latencies are known: this part of the objective.
 constexpr int unknown_latency_share = 6;
 
@@ -81,9 +79,9 @@
 
 arrival_budget_options gateway::budget_options() const
 {
-    return {options_.extra_ratio,
-            options_.extra_slack / static_cast<double>(fleet_size_),
-            options_.extra_window};
+    auto out = options_.extra;
+    out.slack /= static_cast<double>(fleet_size_);
+    return out;
 }
 
 base::duration gateway::hedge_delay(const query& q, const part& p,
@@ -166,7 +164,7 @@
 void gateway::send_part(query& q, std::size_t part, instant now, effects& out)
 {
     auto& p = q.parts[part];
-    if (!servers_.has_live(p.service, now))
+    if (!servers_.has_live(p.service))
     {
         fail_part(q, part);
         return;
@@ -204,6 +202,7 @@
 {
     auto& p = q.parts[part];
     const auto number = ++last_exchange_;
+    ++sends_;
     exchange it;
     it.query = q.number;
     it.part = part;
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -1,6 +1,8 @@
 // Queries that another VM answers, for itself or for this one.
 #include "mimosacroft/gateway/gateway.hpp"
 
+#include "gateway_detail.hpp"
+
 #include <algorithm>
 
 namespace mimosacroft::gateway
@@ -16,11 +18,9 @@
 constexpr std::size_t least_shards = 3;
 // Work of the relay beside the way there and back.
 constexpr milliseconds relay_margin{4};
-constexpr milliseconds drop_margin{250};
 // A lost packet holds up a connection for a fifth of a second; a relay that has
 // not answered after this many usual times gets help.
 constexpr double help_factor = 1.7;
-constexpr std::size_t enough_samples = 20;
 // Until times are known: this part of the objective.
 constexpr double unknown_help_share = 0.6;
 
@@ -132,7 +132,7 @@
                             { return n < found->shards.size(); });
     if (!known)
     {
-        out.answers.push_back({number, declined{}});
+        out.answers.push_back({number, declined{}, found, {}});
         return;
     }
     auto q = make_query(number, std::move(request.request), found, now);
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -23,7 +23,6 @@
     out.step = step_;
     out.after = after_;
     out.revision = revision_;
-    out.wait = options_.wait;
     return out;
 }
 
--- a/lib/gateway/object_sources.cpp
+++ b/lib/gateway/object_sources.cpp
@@ -66,7 +66,7 @@
 
 } // namespace
 
-object_sources::object_sources()
+object_sources::object_sources(watch_waits waits) : waits_(waits)
 {
     sources_.emplace_back();
 }
@@ -106,10 +106,15 @@
     return *std::ranges::min_element(sources_, {}, &object_source::avoid_until);
 }
 
-milliseconds object_sources::oldest_news(const object_source& it)
+milliseconds object_sources::oldest_news(const object_source& it) const
 {
-    return store_wait + wait_margin +
-           static_cast<int>(it.depth) * (vm_wait + wait_margin);
+    return waits_.store + wait_margin +
+           static_cast<int>(it.depth) * (waits_.vm + wait_margin);
+}
+
+milliseconds object_sources::wait(const object_source& it) const
+{
+    return it.is_store() ? waits_.store : waits_.vm;
 }
 
 bool object_sources::has_usable(base::instant now) const
--- a/lib/gateway/query.cpp
+++ b/lib/gateway/query.cpp
@@ -4,9 +4,6 @@
 namespace mimosacroft::gateway
 {
 
-namespace
-{
-
 bool covers(std::size_t in, std::size_t all, double least)
 {
     // A rounding error must not turn enough into too little.
@@ -15,8 +12,6 @@
            least * static_cast<double>(all);
 }
 
-} // namespace
-
 // Another VM decides whether what there is will do.
 double query::least_coverage() const
 {
--- a/lib/gateway/server_pool.cpp
+++ b/lib/gateway/server_pool.cpp
@@ -244,7 +244,7 @@
     return it->second;
 }
 
-bool server_pool::has_live(const std::string& service, instant) const
+bool server_pool::has_live(const std::string& service) const
 {
     return std::ranges::any_of(of(service), [](const server* it)
                                { return !it->entry.leaving; });
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,6 +1,8 @@
 // An HTTP/1.1 client on one event loop.
 #include "mimosacroft/http/client.hpp"
 
+#include "parse_loop.hpp"
+
 #include "mimosacroft/base/text.hpp"
 
 #include <algorithm>
@@ -32,10 +34,7 @@
 {
     response out;
     out.status = message.result_int();
-    for (const auto& it : message)
-        out.headers.push_back(
-            {std::string(it.name_string().data(), it.name_string().size()),
-             std::string(it.value().data(), it.value().size())});
+    out.headers = to_headers(message);
     out.body = std::move(message.body());
     return out;
 }
@@ -76,6 +75,7 @@
     handlers on;
     client_options options;
     std::uint64_t opened = 0;
+    traffic moved;
     std::unordered_map<exchange_number, connection_ptr> busy;
     std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
 };
@@ -131,6 +131,7 @@
     number_ = number;
     is_head_ = message.method == "HEAD";
     out_ = serialize(message);
+    owner_->moved.sent += out_.size();
     last_use_ = std::chrono::steady_clock::now();
     start_parser();
     if (connected_)
@@ -222,6 +223,7 @@
         end();
         return;
     }
+    owner_->moved.received += n;
     pending_.append(buf_.data(), n);
     const auto self = shared_from_this();
     while (parse())
@@ -257,24 +259,13 @@
 // Whether a whole response is there.
 bool client::impl::connection::parse()
 {
-    while (!ended_ && number_ != 0 && !pending_.empty())
-    {
-        error_code ec;
-        const auto used = parser_->put(asio::buffer(pending_), ec);
-        pending_.erase(0, used);
-        if (ec == beast_http::error::need_more)
-            return false;
-        if (ec)
-        {
-            fail(exchange_failure::malformed);
-            return false;
-        }
-        if (parser_->is_done())
-            return true;
-        if (used == 0)
-            return false;
-    }
-    return false;
+    if (ended_ || number_ == 0)
+        return false;
+    error_code ec;
+    const auto outcome = feed(*parser_, pending_, ec);
+    if (outcome == parse_outcome::broken)
+        fail(exchange_failure::malformed);
+    return outcome == parse_outcome::whole;
 }
 
 void client::impl::connection::on_message()
@@ -435,4 +426,9 @@
     return impl_->opened;
 }
 
+traffic client::moved() const
+{
+    return impl_->moved;
+}
+
 } // namespace mimosacroft::http
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -1,6 +1,8 @@
 // An HTTP/1.1 server on one event loop.
 #include "mimosacroft/http/server.hpp"
 
+#include "parse_loop.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -36,10 +38,7 @@
     const auto method = message.method_string();
     out.method.assign(method.data(), method.size());
     out.target.assign(message.target().data(), message.target().size());
-    for (const auto& it : message)
-        out.headers.push_back(
-            {std::string(it.name_string().data(), it.name_string().size()),
-             std::string(it.value().data(), it.value().size())});
+    out.headers = to_headers(message);
     out.body = std::move(message.body());
     return out;
 }
@@ -78,6 +77,7 @@
     server_limits limits;
     bool closing = false;
     request_number last_number = 0;
+    traffic moved;
     std::unordered_map<request_number, std::shared_ptr<connection>> open;
     std::vector<std::shared_ptr<connection>> all;
 };
@@ -159,6 +159,7 @@
         end();
         return;
     }
+    owner_->moved.received += n;
     pending_.append(buf_.data(), n);
     last_use_ = std::chrono::steady_clock::now();
     parse();
@@ -167,22 +168,16 @@
 
 void server::impl::connection::parse()
 {
-    while (!ended_ && !busy() && !pending_.empty())
+    while (!ended_ && !busy())
     {
         error_code ec;
-        const auto used = parser_->put(asio::buffer(pending_), ec);
-        pending_.erase(0, used);
-        if (ec == beast_http::error::need_more)
+        const auto outcome = feed(*parser_, pending_, ec);
+        if (outcome == parse_outcome::needs_more)
             return;
-        if (ec)
-        {
-            refuse(status_of(ec));
-            return;
-        }
-        if (parser_->is_done())
+        if (outcome == parse_outcome::whole)
             hand_out();
-        else if (used == 0)
-            return;
+        else
+            refuse(status_of(ec));
     }
 }
 
@@ -218,6 +213,7 @@
 
 void server::impl::connection::write(std::string bytes)
 {
+    owner_->moved.sent += bytes.size();
     error_code ec;
     const auto n = socket_.write_some(asio::buffer(bytes), ec);
     if (ec && ec != asio::error::would_block)
@@ -387,4 +383,9 @@
     return impl_->all.size();
 }
 
+traffic server::moved() const
+{
+    return impl_->moved;
+}
+
 } // namespace mimosacroft::http
--- a/tools/mimosa_entry.cpp
+++ b/tools/mimosa_entry.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/entry/daemon.hpp"
 #include "platform/settings_file.hpp"
 
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -25,6 +26,9 @@
                       "settings file; without it, the one that the platform "
                       "names in the environment",
                       cxxopts::value<std::string>())(
+        "metrics-port",
+        "TCP port for GET /metrics at the VM's address; 0: none",
+        cxxopts::value<std::uint16_t>()->default_value("0"))(
         "check-settings", "reads the settings, says what is wrong, and ends")(
         "help", "shows this text");
     return out;
@@ -37,9 +41,23 @@
     return platform::settings_path();
 }
 
-int run(const std::string& path, bool only_check)
+// The settings file, with what the flags add to it.
+base::result<entry::settings> read_settings(const std::string& path,
+                                            std::uint16_t metrics_port)
 {
-    const auto start = platform::read_settings(path);
+    auto out = platform::read_settings(path);
+    if (out && metrics_port != 0)
+    {
+        const auto& own = out->caller_address;
+        out->metrics_address =
+            own.substr(0, own.rfind(':') + 1) + std::to_string(metrics_port);
+    }
+    return out;
+}
+
+int run(const std::string& path, std::uint16_t metrics_port, bool only_check)
+{
+    const auto start = read_settings(path, metrics_port);
     if (!start)
     {
         std::fprintf(stderr, "mimosa-entry: %s\n",
@@ -52,9 +70,9 @@
         return EXIT_SUCCESS;
     }
     return entry::run(*start,
-                      [path](entry::settings& out)
+                      [path, metrics_port](entry::settings& out)
                       {
-                          auto fresh = platform::read_settings(path);
+                          auto fresh = read_settings(path, metrics_port);
                           if (!fresh)
                               return false;
                           out = std::move(*fresh);
@@ -81,7 +99,8 @@
             std::fprintf(stderr, "mimosa-entry: no settings file is named\n");
             return exit_usage;
         }
-        return run(*path, arguments.count("check-settings") > 0);
+        return run(*path, arguments["metrics-port"].as<std::uint16_t>(),
+                   arguments.count("check-settings") > 0);
     }
     catch (const std::exception& ex)
     {
--- a/unittests/gateway/gateway_fixture.hpp
+++ b/unittests/gateway/gateway_fixture.hpp
@@ -62,8 +62,8 @@
         gateway::gateway_options out;
         out.data_centre = "a";
         out.regions = {{"a", "ra"}, {"b", "rb"}};
-        out.extra_ratio = 0.2;
-        out.extra_slack = 1000;
+        out.extra.ratio = 0.2;
+        out.extra.slack = 1000;
         return out;
     }
 
--- a/unittests/gateway/object_follower_test.cpp
+++ b/unittests/gateway/object_follower_test.cpp
@@ -91,12 +91,3 @@
     const auto names = it.on_batch(batch({"b"}, 9, false), now);
     CHECK((names == std::set<std::string>{"b"}));
 }
-
-// The store's silence must show before news may be late: a watch that hangs is
-// given up after its wait and a little.
-TEST(object_follower, a_watch_waits_no_longer_than_a_silent_store_may)
-{
-    next();
-    it.on_batch(batch({}, 7, false), now);
-    CHECK(next().wait <= milliseconds(2'000));
-}
--- a/unittests/gateway/object_sources_test.cpp
+++ b/unittests/gateway/object_sources_test.cpp
@@ -107,11 +107,19 @@
     const auto child = sources_of(all, 8);
     const auto& parent = child.current(now);
     CHECK_FALSE(parent.is_store());
-    const auto noticed =
-        gateway::object_sources::oldest_news(parent) + gateway::vm_wait;
+    const auto noticed = child.oldest_news(parent) + child.wait(parent);
     CHECK(noticed < milliseconds(3'000 - 500));
     // In health a parent's news are never as old.
-    CHECK(gateway::store_wait < gateway::object_sources::oldest_news(parent));
+    CHECK(child.wait({}) < child.oldest_news(parent));
+}
+
+// The store's silence must show before news may be late: a watch that hangs is
+// given up after its wait and a little.
+TEST(object_sources, a_watch_waits_no_longer_than_a_silent_store_may)
+{
+    const gateway::object_sources alone;
+    CHECK(alone.current(now).is_store());
+    CHECK(alone.wait(alone.current(now)) <= milliseconds(2'000));
 }
 
 TEST(object_sources, helpers_of_other_data_centres_come_before_ones_own)
--- a/unittests/gateway/scattered_test.cpp
+++ b/unittests/gateway/scattered_test.cpp
@@ -162,8 +162,8 @@
 TEST(scattered, no_second_send_without_budget)
 {
     auto options = bed::make_options();
-    options.extra_slack = 0;
-    options.extra_ratio = 0;
+    options.extra.slack = 0;
+    options.extra.ratio = 0;
     bed poor({scattered(4)}, options);
     poor.add_shards(4);
     poor.open("/all/q");
--- a/unittests/platform/settings_file_test.cpp
+++ b/unittests/platform/settings_file_test.cpp
@@ -36,7 +36,7 @@
     STRCMP_EQUAL("vm-1", it->vm.c_str());
     STRCMP_EQUAL("10.1.0.9:83", it->peer_address.c_str());
     STRCMP_EQUAL("r2", it->regions.at("dc-b").c_str());
-    DOUBLES_EQUAL(54, it->extra_slack, 0);
+    DOUBLES_EQUAL(54, it->extra.slack, 0);
     CHECK(it->stop_grace == base::milliseconds(6'000));
 }
 
