--- /dev/null
+++ b/unittests/soak/standin_server.cpp
@@ -0,0 +1,83 @@
+// A server for the soak.
+#include "standin_server.hpp"
+
+#include <memory>
+
+namespace mimosacroft::tests
+{
+
+namespace
+{
+
+using base::milliseconds;
+
+constexpr milliseconds work_time{5};
+constexpr milliseconds slow_work_time{400};
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+
+std::string text_of(const http::tcp::endpoint& it)
+{
+    return it.address().to_string() + ":" + std::to_string(it.port());
+}
+
+} // namespace
+
+standin_server::standin_server(http::asio::io_context& io, ledger& seen,
+                               gateway::server_entry entry,
+                               const http::tcp::endpoint& at,
+                               const http::tcp::endpoint& link)
+    : io_(io), seen_(seen), entry_(std::move(entry)),
+      server_(io, at,
+              {.on_request = [this](auto number, auto&& message)
+               { on_request(number, message); },
+               .on_leave = [](auto) {}}),
+      link_(io, link, at)
+{
+    entry_.address = text_of(link);
+}
+
+std::string standin_server::replace()
+{
+    auto old = entry_.id;
+    entry_.id += "x";
+    entry_.started_at += ++replaced_;
+    return old;
+}
+
+void standin_server::on_request(http::request_number number,
+                                const http::request& message)
+{
+    const auto question = read_question(message);
+    if (question.expected_server != entry_.id)
+    {
+        server_.answer(number, server_refusal(question, status_misdirected));
+        return;
+    }
+    const bool runs = mode_ != server_mode::refuses;
+    seen_.arrivals.push_back({std::chrono::steady_clock::now(), question.id,
+                              entry_.service, entry_.id, runs});
+    if (!runs)
+        server_.answer(number, server_refusal(question, status_unavailable));
+    else if (mode_ == server_mode::fails)
+        server_.answer(number, server_failure(question));
+    else if (mode_ != server_mode::is_dark)
+        finish(number, question);
+}
+
+void standin_server::finish(http::request_number number,
+                            const server_question& question)
+{
+    const bool is_shard = entry_.service.starts_with("shard");
+    const auto signature = signature_of(entry_.id, question.id, entry_.service);
+    seen_.issued.insert(signature);
+    const auto reply = server_success(question, signature,
+                                      is_shard ? records_of(entry_.service)
+                                               : body_of(question.id));
+    const auto timer = std::make_shared<http::asio::steady_timer>(
+        io_, mode_ == server_mode::is_slow ? slow_work_time : work_time);
+    timer->async_wait([this, number, reply, timer](const http::error_code&)
+                      { server_.answer(number, reply); });
+}
+
+} // namespace mimosacroft::tests
