--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -31,8 +31,8 @@
 // When a whole fleet starts, its VMs do so within 0.3 s. Who lists them after
 // that knows all, and where to read from.
 constexpr milliseconds first_start_spread{450};
-// The list of VMs says where the others are read from; not for ever, since the
-// store may be away.
+// Then the list of VMs says where the other kinds are read from; they do not
+// wait for it for ever, since the store may be away.
 constexpr milliseconds vms_first{300};
 constexpr milliseconds clean_period{2'000};
 
@@ -77,8 +77,10 @@
       registration_(io, start.store_address, own_, random_seed())
 {
     const auto at = now();
+    // A VM that comes back is needed at once, and those that it knows from the
+    // list may be down: it reads all from the store first.
     list_vms_at_ = start.is_first_start ? at + first_start_spread : at;
-    follow_others_at_ = list_vms_at_ + vms_first;
+    follow_others_at_ = start.is_first_start ? list_vms_at_ + vms_first : at;
     clean_at_ = at + clean_period;
     set_fleet();
 }
