--- a/lib/operate/log_explainer.cpp
+++ b/lib/operate/log_explainer.cpp
@@ -126,7 +126,13 @@
 {
     auto out = it.time + " " + it.vm + " " + it.name;
     for (const auto& [key, value] : it.fields)
-        out += " " + key + "=\"" + value + "\"";
+    {
+        out += " ";
+        out += key;
+        out += "=\"";
+        out += value;
+        out += "\"";
+    }
     return out + "\n";
 }
 
