--- a/unittests/soak/faults.cpp
+++ b/unittests/soak/faults.cpp
@@ -147,8 +147,8 @@
 {
     const auto vm = draw(random, in.vms());
     const auto server = draw_server(in, random);
-    const auto at_vm = " " + std::to_string(vm);
-    const auto at_server = " " + in.server(server).entry().id;
+    auto at_vm = " " + std::to_string(vm);
+    auto at_server = " " + in.server(server).entry().id;
     switch (kind)
     {
     case fault_kind::kill_vm:
