--- a/include/mimosacroft/base/crypto.hpp
+++ b/include/mimosacroft/base/crypto.hpp
@@ -24,6 +24,12 @@
 std::string random_bytes(std::size_t n);
 std::uint64_t random_u64();
 
+/// A seed for a generator that may not start at zero.
+inline std::uint32_t random_seed()
+{
+    return static_cast<std::uint32_t>(random_u64() | 1U);
+}
+
 /// Lower-case hexadecimal digits of raw bytes.
 std::string to_hex(std::string_view bytes);
 
--- a/include/mimosacroft/base/text.hpp
+++ b/include/mimosacroft/base/text.hpp
@@ -11,6 +11,12 @@
 namespace mimosacroft::base
 {
 
+/// Letters beyond ASCII stay as they are.
+constexpr char to_lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
 /// The parts of a text between separators, without empty ones.
 std::vector<std::string> split(std::string_view text, char by);
 
--- a/include/mimosacroft/entry/settings.hpp
+++ b/include/mimosacroft/entry/settings.hpp
@@ -3,7 +3,8 @@
 #define MIMOSACROFT_ENTRY_SETTINGS_HPP
 
 #include "mimosacroft/base/time.hpp"
-#include "mimosacroft/gateway/gateway.hpp"
+#include "mimosacroft/gateway/arrival_budget.hpp"
+#include "mimosacroft/gateway/mechanisms.hpp"
 
 #include <cstddef>
 #include <map>
--- a/include/mimosacroft/gateway/catalog.hpp
+++ b/include/mimosacroft/gateway/catalog.hpp
@@ -60,7 +60,6 @@
 struct service_settings
 {
     std::string name;
-    std::string health_path;
     std::size_t most_connections = 0; ///< of each server, for all VMs together
 };
 
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "mimosacroft/base/latency_tracker.hpp"
 #include "mimosacroft/gateway/arrival_budget.hpp"
 #include "mimosacroft/gateway/catalog.hpp"
+#include "mimosacroft/gateway/mechanisms.hpp"
 #include "mimosacroft/gateway/query.hpp"
 #include "mimosacroft/gateway/relay_set.hpp"
 #include "mimosacroft/gateway/server_pool.hpp"
@@ -24,19 +25,6 @@
 namespace mimosacroft::gateway
 {
 
-/// What is done against slow servers and overload. Each can be switched off, so
-/// that its effect can be measured.
-struct mechanisms
-{
-    bool hedging = true;
-    bool relaying = true; ///< far shards are asked through a VM beside them
-    /// Refuses at once what could not be answered in time.
-    bool admission = true;
-    bool partial_answers = true; ///< near the objective, with enough shards
-
-    bool operator==(const mechanisms&) const = default;
-};
-
 struct gateway_options
 {
     std::string data_centre;
@@ -154,7 +142,7 @@
     void send_part(query& q, std::size_t part, base::instant now, effects& out);
     server* choose(const query& q, const part& p, base::instant now);
     std::vector<server*> candidates(const query& q, const part& p) const;
-    std::size_t most_exchanges(const server& it) const;
+    std::size_t most_exchanges(const std::string& service) const;
     void send(query& q, std::size_t part, server& to, base::instant now,
               effects& out);
     void hedge(query& q, std::size_t part, base::instant now, effects& out);
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -80,7 +80,6 @@
     bool is_complete() const { return complete_; }
     /// Calls that failed in a row.
     unsigned failures() const { return failures_; }
-    base::instant last_success() const { return last_success_; }
     std::uint64_t revision() const { return revision_; }
 
 private:
@@ -97,7 +96,6 @@
     unsigned failures_ = 0;
     base::instant due_{};
     base::instant started_{}; ///< the last call
-    base::instant last_success_{};
 };
 
 } // namespace mimosacroft::gateway
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -62,7 +62,6 @@
 {
     no_configuration, ///< not run; come back
     no_such_search,
-    bad_request,
     no_server,  ///< not run; come back
     no_time,    ///< not run; the deadline is too short
     overloaded, ///< not run; come back
@@ -220,9 +219,9 @@
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::gateway::refusal>
 {
-    static constexpr std::array<std::string_view, 8> table = {
-        "no_configuration", "no_such_search", "bad_request", "no_server",
-        "no_time",          "overloaded",     "failed",      "timed_out"};
+    static constexpr std::array<std::string_view, 7> table = {
+        "no_configuration", "no_such_search", "no_server", "no_time",
+        "overloaded",       "failed",         "timed_out"};
 };
 
 template <>
--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -80,9 +80,6 @@
     /// Ends an exchange and its connection; nothing more is called back for it.
     void drop(exchange_number number);
 
-    /// Ends kept connections to an address that are not in use.
-    void close_idle(const tcp::endpoint& to);
-
     /// Ends connections that are idle for too long, and attempts to connect
     /// that take too long. To be called a few times a second.
     void sweep(base::instant now);
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -1,6 +1,7 @@
 // Runs a node with sockets and timers.
 #include "mimosacroft/daemon/runtime.hpp"
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
 #include "mimosacroft/daemon/wall_clock.hpp"
@@ -15,11 +16,6 @@
 namespace
 {
 
-base::instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// How often a draining VM looks whether it is idle.
 constexpr base::milliseconds drain_check{10};
 
@@ -97,8 +93,8 @@
 {
     core::effects out;
     // What was decided before an exception is still carried out.
-    node_.on_wall_clock(seconds_since_1970(), now());
-    const auto failure = failure_of([&] { fn(now(), out); });
+    node_.on_wall_clock(seconds_since_1970(), base::now());
+    const auto failure = failure_of([&] { fn(base::now(), out); });
     for (auto& it : out)
         carry_out(it);
     deliver_answers();
@@ -166,16 +162,16 @@
     const auto version = std::ranges::find(
         it.fields, "version", &decltype(it.fields)::value_type::first);
     platform_older_ = {std::strtoull(version->second.c_str(), nullptr, 10),
-                       node_.fleet().store().through(), now()};
+                       node_.fleet().store().through(), base::now()};
 }
 
 void runtime::note_server(const std::string& address)
 {
     const bool known = servers_heard_.contains(address);
-    servers_heard_[address] = now();
+    servers_heard_[address] = base::now();
     if (!known)
         std::erase_if(servers_heard_, [](const auto& it)
-                      { return now() - it.second > server_memory; });
+                      { return base::now() - it.second > server_memory; });
 }
 
 base::instant runtime::server_heard(const std::string& address) const
@@ -195,7 +191,7 @@
         metrics_.observe_share("mimosa_query_coverage",
                                query::coverage_of(answer));
         traces_.put(answer);
-        recent_.add(answer, now());
+        recent_.add(answer, base::now());
         const auto it = waiting_.find(answer.ticket);
         if (it == waiting_.end())
             continue;
@@ -211,7 +207,7 @@
     if (version != config_version_)
     {
         config_version_ = version;
-        config_changed_ = now();
+        config_changed_ = base::now();
         metrics_.set("mimosa_config_version", static_cast<double>(version));
     }
     // A change beyond what was in force shows that the store has caught up.
@@ -287,7 +283,7 @@
     loop_.post(
         [&]
         {
-            http_.call(address, request, {now() + timeout, true},
+            http_.call(address, request, {base::now() + timeout, true},
                        [&done](auto reply)
                        { done.set_value(std::move(reply)); });
         });
@@ -308,7 +304,7 @@
             on_drained_ = fn;
             step([this](base::instant t, core::effects& out)
                  { node_.begin_drain(t, out); });
-            loop_.at(now() + grace,
+            loop_.at(base::now() + grace,
                      [this]
                      {
                          node_.refuse_searches();
@@ -320,15 +316,15 @@
 void runtime::check_drained()
 {
     if (node_.idle() && waiting_.empty())
-        return await_flush(now() + flush_limit);
-    loop_.at(now() + drain_check, [this] { check_drained(); });
+        return await_flush(base::now() + flush_limit);
+    loop_.at(base::now() + drain_check, [this] { check_drained(); });
 }
 
 void runtime::await_flush(base::instant due)
 {
-    if (peers_.flushed() || now() >= due)
+    if (peers_.flushed() || base::now() >= due)
         return on_drained_();
-    loop_.at(now() + drain_check, [this, due] { await_flush(due); });
+    loop_.at(base::now() + drain_check, [this, due] { await_flush(due); });
 }
 
 } // namespace mimosacroft::daemon
--- a/lib/daemon/status_page.cpp
+++ b/lib/daemon/status_page.cpp
@@ -1,6 +1,8 @@
 // What this VM is doing.
 #include "mimosacroft/daemon/status_page.hpp"
 
+#include "mimosacroft/base/clock.hpp"
+
 #include <algorithm>
 #include <map>
 #include <sstream>
@@ -14,11 +16,6 @@
 /// A VM that was not heard for longer is named on the page.
 constexpr base::seconds silent_after{5};
 
-base::instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string seconds(base::duration it)
 {
     return std::to_string(base::to_ms(it) / 1000) + " s";
@@ -26,7 +23,7 @@
 
 std::string age(base::instant at)
 {
-    return at == base::never ? "never" : seconds(now() - at) + " ago";
+    return at == base::never ? "never" : seconds(base::now() - at) + " ago";
 }
 
 std::string milliseconds(base::duration it)
@@ -63,7 +60,7 @@
         return "The platform answers; it was last heard " +
                age(it.platform_heard()) + ".";
     return "The platform has not answered for " +
-           seconds(now() - it.platform_heard()) +
+           seconds(base::now() - it.platform_heard()) +
            "; this VM goes on with the configuration that it has.";
 }
 
@@ -141,7 +138,7 @@
 // The work of this VM on servers.
 void write_leaf(std::ostream& out, const runtime& rt)
 {
-    const auto it = rt.node().leaf().stats(now());
+    const auto it = rt.node().leaf().stats(base::now());
     out << "Since it started " << age(rt.started()) << " it has sent "
         << count(it.first_attempts, "subquery", "subqueries") << " to servers, "
         << it.hedges
@@ -167,7 +164,7 @@
 
 nlohmann::json leaf_json(const runtime& rt)
 {
-    const auto it = rt.node().leaf().stats(now());
+    const auto it = rt.node().leaf().stats(base::now());
     const auto heard = servers_heard(rt);
     auto servers = nlohmann::json::array();
     for (const auto& server : it.servers)
@@ -181,9 +178,9 @@
                            {"high_ms", server.high_latency_ms}});
         const auto at = heard.at(server.server);
         if (at != base::never)
-            row["heard_ms"] = base::to_ms(now() - at);
+            row["heard_ms"] = base::to_ms(base::now() - at);
     }
-    return {{"since_ms", base::to_ms(now() - rt.started())},
+    return {{"since_ms", base::to_ms(base::now() - rt.started())},
             {"first_attempts", it.first_attempts},
             {"hedges", it.hedges},
             {"retries", it.retries},
@@ -197,10 +194,10 @@
 void write_suspected(std::ostream& out, const fleet::agent& it)
 {
     for (const auto& vm : it.view().entries())
-        if (it.is_suspected(vm.vm, now()))
+        if (it.is_suspected(vm.vm, base::now()))
             out << "The entry VM " << vm.vm
                 << " is suspected to be down: it has not answered for "
-                << seconds(now() - it.members().doubted_since(vm.vm))
+                << seconds(base::now() - it.members().doubted_since(vm.vm))
                 << ", and no other VM has heard of it since.\n";
 }
 
@@ -215,9 +212,9 @@
             continue;
         if (peer == it.peers().end())
             out << "It has not heard from " << vm.vm << " yet.\n";
-        else if (now() - peer->second.heard > silent_after)
+        else if (base::now() - peer->second.heard > silent_after)
             out << "It has not heard from " << vm.vm << " for "
-                << seconds(now() - peer->second.heard) << ".\n";
+                << seconds(base::now() - peer->second.heard) << ".\n";
         else if (peer->second.config_version < it.store().through())
             out << vm.vm << " had version " << peer->second.config_version
                 << " of the configuration " << age(peer->second.heard) << ".\n";
@@ -261,7 +258,7 @@
         << count(catalog.upstreams().size(), "upstream") << ".\n"
         << "It is working on " << count(node.root().open(), "request")
         << " of callers right now.\n";
-    write_answers(out, rt.recent().summary(now()));
+    write_answers(out, rt.recent().summary(base::now()));
     write_leaf(out, rt);
     write_leaving(out, fleet);
     out << configuration_sentence(rt) << "\n"
@@ -284,21 +281,22 @@
     auto vms = nlohmann::json::array();
     for (const auto& it : fleet.view().entries())
     {
-        nlohmann::json row = {{"vm", it.vm},
-                              {"data_centre", it.data_centre},
-                              {"leaving", it.leaving},
-                              {"draining", fleet.is_draining(it.vm)},
-                              {"suspected", fleet.is_suspected(it.vm, now())}};
+        nlohmann::json row = {
+            {"vm", it.vm},
+            {"data_centre", it.data_centre},
+            {"leaving", it.leaving},
+            {"draining", fleet.is_draining(it.vm)},
+            {"suspected", fleet.is_suspected(it.vm, base::now())}};
         const auto doubted = fleet.members().doubted_since(it.vm);
         if (doubted != base::never)
-            row["unanswered_ms"] = base::to_ms(now() - doubted);
+            row["unanswered_ms"] = base::to_ms(base::now() - doubted);
         const auto peer = fleet.peers().find(it.vm);
         if (it.vm == fleet.options().vm)
             row["config_version"] = fleet.store().through();
         else if (peer != fleet.peers().end())
         {
             row["config_version"] = peer->second.config_version;
-            row["heard_ms"] = base::to_ms(now() - peer->second.heard);
+            row["heard_ms"] = base::to_ms(base::now() - peer->second.heard);
         }
         vms.push_back(std::move(row));
     }
@@ -308,27 +306,29 @@
                            {"name", key.second},
                            {"version", it.version},
                            {"reason", it.reason}});
-    nlohmann::json out = {{"vm", fleet.options().vm},
-                          {"data_centre", fleet.options().data_centre},
-                          {"config_version", fleet.store().through()},
-                          {"view_version", fleet.view().version()},
-                          {"platform_ok", fleet.platform_ok()},
-                          {"recent", answers_json(rt.recent().summary(now()))},
-                          {"open_requests", node.root().open()},
-                          {"open_forwards", node.leaf().open()},
-                          {"draining", node.draining()},
-                          {"leaf", leaf_json(rt)},
-                          {"refused", std::move(refused)},
-                          {"vms", std::move(vms)}};
+    nlohmann::json out = {
+        {"vm", fleet.options().vm},
+        {"data_centre", fleet.options().data_centre},
+        {"config_version", fleet.store().through()},
+        {"view_version", fleet.view().version()},
+        {"platform_ok", fleet.platform_ok()},
+        {"recent", answers_json(rt.recent().summary(base::now()))},
+        {"open_requests", node.root().open()},
+        {"open_forwards", node.leaf().open()},
+        {"draining", node.draining()},
+        {"leaf", leaf_json(rt)},
+        {"refused", std::move(refused)},
+        {"vms", std::move(vms)}};
     if (fleet.store().through() > 0)
-        out["config_age_ms"] = base::to_ms(now() - rt.config_changed());
+        out["config_age_ms"] = base::to_ms(base::now() - rt.config_changed());
     if (rt.platform_older())
         out["platform_older"] = {
             {"version", rt.platform_older()->version},
             {"in_force", rt.platform_older()->in_force},
-            {"age_ms", base::to_ms(now() - rt.platform_older()->seen)}};
+            {"age_ms", base::to_ms(base::now() - rt.platform_older()->seen)}};
     if (fleet.platform_heard() != base::never)
-        out["platform_heard_ms"] = base::to_ms(now() - fleet.platform_heard());
+        out["platform_heard_ms"] =
+            base::to_ms(base::now() - fleet.platform_heard());
     return out;
 }
 
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -1,6 +1,7 @@
 // An entry VM on the platform.
 #include "mimosacroft/entry/daemon.hpp"
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/crypto.hpp"
 #include "mimosacroft/entry/entry_metrics.hpp"
 #include "mimosacroft/entry/event_writer.hpp"
@@ -44,11 +45,6 @@
 // not be repeated must not meet that.
 constexpr milliseconds most_idle_for_single_sends{400};
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 gateway::gateway_options gateway_options_of(const settings& s)
 {
     gateway::gateway_options out;
@@ -56,7 +52,7 @@
     out.regions = s.regions;
     out.extra = s.extra;
     out.use = s.use;
-    out.seed = static_cast<std::uint32_t>(base::random_u64() | 1U);
+    out.seed = base::random_seed();
     return out;
 }
 
@@ -240,10 +236,10 @@
     out.on_catalog = [this](const gateway::catalog& it)
     { callers_.set_limits(to_server_limits(it.limits())); };
     out.on_servers = [this]
-    { decide([&](auto& effects) { gateway_.tick(now(), effects); }); };
+    { decide([&](auto& effects) { gateway_.tick(base::now(), effects); }); };
     out.on_call_ended = [this](const std::string& kind)
     {
-        spread_.serve(kind, now());
+        spread_.serve(kind, base::now());
         arm();
     };
     return out;
@@ -310,19 +306,19 @@
         return;
     }
     decide([&](auto& out)
-           { gateway_.open(number, std::move(*request), now(), out); });
+           { gateway_.open(number, std::move(*request), base::now(), out); });
 }
 
 void daemon::on_leave(http::request_number number)
 {
-    decide([&](auto& out) { gateway_.leave(number, now(), out); });
+    decide([&](auto& out) { gateway_.leave(number, base::now(), out); });
 }
 
 void daemon::on_peer(http::request_number number, http::request&& message)
 {
     if (const auto spread = decode_spread_request(message))
     {
-        spread_.on_request(number, *spread, now());
+        spread_.on_request(number, *spread, base::now());
         return;
     }
     auto request = decode_relay(message);
@@ -335,8 +331,8 @@
     decide(
         [&](auto& out)
         {
-            gateway_.open_relayed(number | peer_bit, std::move(*request), now(),
-                                  out);
+            gateway_.open_relayed(number | peer_bit, std::move(*request),
+                                  base::now(), out);
         });
 }
 
@@ -348,10 +344,11 @@
         [&](auto& out)
         {
             if (reply)
-                gateway_.on_relay_reply(number, std::move(*reply), now(), out);
+                gateway_.on_relay_reply(number, std::move(*reply), base::now(),
+                                        out);
             else
                 gateway_.on_failure(number, gateway::send_failure::malformed,
-                                    now(), out);
+                                    base::now(), out);
         });
 }
 
@@ -361,8 +358,9 @@
     decide(
         [&](auto& out)
         {
-            gateway_.on_reply(
-                number, platform::decode_reply(std::move(message)), now(), out);
+            gateway_.on_reply(number,
+                              platform::decode_reply(std::move(message)),
+                              base::now(), out);
         });
 }
 
@@ -370,8 +368,11 @@
                         http::exchange_failure why)
 {
     sent_.erase(number);
-    decide([&](auto& out)
-           { gateway_.on_failure(number, to_send_failure(why), now(), out); });
+    decide(
+        [&](auto& out)
+        {
+            gateway_.on_failure(number, to_send_failure(why), base::now(), out);
+        });
 }
 
 http::reply_match daemon::match(http::exchange_number number,
@@ -385,7 +386,7 @@
 void daemon::on_metrics_question(http::request_number number,
                                  const http::request& message)
 {
-    const auto at = now();
+    const auto at = base::now();
     metrics_.note(gateway_);
     for (const auto* it : feed_.watches())
         metrics_.note(*it, at);
@@ -424,7 +425,7 @@
 void daemon::on_timer()
 {
     armed_ = base::never;
-    const auto at = now();
+    const auto at = base::now();
     feed_.tick(at);
     if (sweep_at_ <= at)
         sweep(at);
@@ -454,7 +455,7 @@
 // Addresses stay as they were at the start.
 void daemon::reload()
 {
-    reload_at_ = now() + reload_period;
+    reload_at_ = base::now() + reload_period;
     settings fresh;
     if (!read_again_(fresh) || fresh == settings_)
         return;
@@ -487,7 +488,7 @@
         return;
     stopping_ = true;
     log_.write({event_id::stopping, {{"signal", std::to_string(number)}}});
-    const auto at = now();
+    const auto at = base::now();
     stop_after_ = at + taking_time;
     stop_by_ = at + std::max(settings_.stop_grace - stop_margin, taking_time);
     callers_.announce_close();
@@ -505,8 +506,8 @@
 int daemon::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    reload_at_ = now() + reload_period;
-    sweep_at_ = now() + sweep_period;
+    reload_at_ = base::now() + reload_period;
+    sweep_at_ = base::now() + sweep_period;
     wait_for_signal();
     log_.write({event_id::started,
                 {{"vm", settings_.vm},
--- a/lib/entry/event_writer.cpp
+++ b/lib/entry/event_writer.cpp
@@ -1,10 +1,9 @@
 // Writes events as JSON lines.
 #include "mimosacroft/entry/event_writer.hpp"
 
-#include <array>
+#include "mimosacroft/base/utc_time.hpp"
+
 #include <chrono>
-#include <cstdio>
-#include <ctime>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -17,20 +16,9 @@
 
 std::string utc_now()
 {
-    const auto at = std::chrono::system_clock::now();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        at.time_since_epoch())
-                        .count();
-    const std::time_t seconds = ms / 1000;
-    std::tm parts{};
-    ::gmtime_r(&seconds, &parts);
-    std::array<char, 32> buf{};
-    const auto n =
-        std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, 8> fraction{};
-    std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
-                  static_cast<int>(ms % 1000));
-    return std::string(buf.data(), n) + fraction.data();
+    const auto at = std::chrono::system_clock::now().time_since_epoch();
+    return base::format_log_time(
+        std::chrono::duration_cast<base::milliseconds>(at));
 }
 
 } // namespace
--- a/lib/entry/registration.cpp
+++ b/lib/entry/registration.cpp
@@ -1,6 +1,8 @@
 // Keeps this VM's entry in the store.
 #include "mimosacroft/entry/registration.hpp"
 
+#include "mimosacroft/base/clock.hpp"
+
 #include "platform/store.hpp"
 
 namespace mimosacroft::entry
@@ -18,11 +20,6 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned first_error_status = 300;
 
-base::instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 registration::registration(http::asio::io_context& io,
@@ -67,7 +64,7 @@
 {
     std::uniform_real_distribution<double> share(0, 1);
     due_ =
-        now() + least_retry +
+        base::now() + least_retry +
         std::chrono::duration_cast<milliseconds>(retry_spread * share(random_));
 }
 
@@ -90,7 +87,7 @@
     if (reply.status == status_conflict && state_ == state::creating)
     {
         state_ = state::replacing;
-        due_ = now();
+        due_ = base::now();
         return;
     }
     if (reply.status == status_not_found)
@@ -105,7 +102,7 @@
         return;
     }
     state_ = state::registered;
-    due_ = now() + gateway::renewal_period;
+    due_ = base::now() + gateway::renewal_period;
 }
 
 void registration::withdraw()
--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -1,6 +1,7 @@
 // What a VM learns through the store.
 #include "mimosacroft/entry/store_feed.hpp"
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/crypto.hpp"
 #include "platform/store.hpp"
 
@@ -36,16 +37,6 @@
 constexpr milliseconds vms_first{300};
 constexpr milliseconds clean_period{2'000};
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-std::uint32_t random_seed()
-{
-    return static_cast<std::uint32_t>(base::random_u64() | 1U);
-}
-
 } // namespace
 
 store_feed::store_feed(http::asio::io_context& io, const settings& start,
@@ -60,23 +51,23 @@
                      watch_handlers(
                          platform::configuration_kind, [this](const auto& it)
                          { on_configuration(it); }, [](const auto&) {}),
-                     random_seed()),
+                     base::random_seed()),
       servers_(io, std::string(platform::servers_kind), start.store_address,
                {.pace = servers_pace}, {},
                watch_handlers(
                    platform::servers_kind,
                    [this](const auto& it) { on_servers(it); },
                    [this](const auto& it) { on_server_list(it); }),
-               random_seed()),
+               base::random_seed()),
       vms_(io, std::string(platform::vms_kind), start.store_address,
            {.pace = vms_pace}, vms_waits,
            watch_handlers(
                platform::vms_kind, [this](const auto& it) { on_vms(it); },
                [this](const auto& it) { on_vm_list(it); }),
-           random_seed()),
-      registration_(io, start.store_address, own_, random_seed())
+           base::random_seed()),
+      registration_(io, start.store_address, own_, base::random_seed())
 {
-    const auto at = now();
+    const auto at = base::now();
     // A VM that comes back is needed at once, and those that it knows from the
     // list may be down: it reads all from the store first.
     list_vms_at_ = start.is_first_start ? at + first_start_spread : at;
@@ -185,7 +176,7 @@
 {
     log_.write({event_id::server_removed,
                 {{"peer", id}, {"reason", "its entry is gone"}}});
-    const auto at = now();
+    const auto at = base::now();
     const bool outage = at - failed_at_ < outage_memory;
     gateway_.remove_server(id, at,
                            outage ? removal_hold_after_outage : removal_hold);
@@ -197,7 +188,7 @@
     if (!entry)
         log_.write({event_id::server_entry_refused,
                     {{"reason", to_string(entry.error())}}});
-    else if (gateway_.servers().apply(*entry, now()))
+    else if (gateway_.servers().apply(*entry, base::now()))
         log_.write({event_id::server_listed,
                     {{"peer", entry->id},
                      {"service", entry->service},
@@ -235,7 +226,7 @@
         }
         const auto entry = platform::decode_vm(it);
         if (entry)
-            directory_.apply(*entry, now());
+            directory_.apply(*entry, base::now());
         else
             log_.write(
                 {event_id::object_refused,
@@ -266,7 +257,7 @@
 // fail in between.
 void store_feed::on_failure(const std::string& kind, const std::string& text)
 {
-    failed_at_ = now();
+    failed_at_ = base::now();
     if (is_lost_)
         return;
     is_lost_ = true;
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -1,6 +1,8 @@
 // Follows one kind of object of the store.
 #include "mimosacroft/entry/store_watch.hpp"
 
+#include "mimosacroft/base/clock.hpp"
+
 #include "platform/store.hpp"
 
 #include <algorithm>
@@ -111,7 +113,7 @@
 
 void store_watch::fail(const std::string& text)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = base::now();
     call_due_ = base::never;
     sources_.on_failure(asked_, now);
     follower_.on_failure(now, random_share());
@@ -135,7 +137,7 @@
 void store_watch::on_reply(http::response&& reply)
 {
     call_due_ = base::never;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = base::now();
     const auto answer = decode(reply);
     if (!answer && answer.error().code == base::error_code::not_found)
     {
--- a/lib/gateway/catalog.cpp
+++ b/lib/gateway/catalog.cpp
@@ -1,6 +1,8 @@
 // One version of the configuration, and the distribution over services.
 #include "mimosacroft/gateway/catalog.hpp"
 
+#include "mimosacroft/base/text.hpp"
+
 #include <algorithm>
 
 namespace mimosacroft::gateway
@@ -16,13 +18,7 @@
 std::string normalized_host(std::string_view host)
 {
     std::string out(host.substr(0, host.find(':')));
-    std::ranges::transform(out, out.begin(),
-                           [](char c)
-                           {
-                               return c >= 'A' && c <= 'Z'
-                                          ? static_cast<char>(c - 'A' + 'a')
-                                          : c;
-                           });
+    std::ranges::transform(out, out.begin(), base::to_lower);
     return out;
 }
 
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -100,9 +100,10 @@
     return budgets_[service].take(budget_options(), now);
 }
 
-std::size_t gateway::most_exchanges(const server& it) const
+// With each server of a service.
+std::size_t gateway::most_exchanges(const std::string& service) const
 {
-    const auto* settings = catalog_->find_service(it.entry.service);
+    const auto* settings = catalog_->find_service(service);
     if (!settings || settings->most_connections == 0)
         return unlimited;
     const auto all =
@@ -136,11 +137,12 @@
 server* gateway::choose(const query& q, const part& p, instant now)
 {
     const auto usual = usual_latency(*q.search);
+    const auto most = most_exchanges(p.service);
     server* best = nullptr;
     duration least{};
     for (auto* it : candidates(q, p))
     {
-        if (it->sent.size() >= most_exchanges(*it))
+        if (it->sent.size() >= most)
             continue;
         const bool busy =
             std::ranges::any_of(p.under_way, [this, it](exchange_number n)
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -44,7 +44,6 @@
 {
     under_way_ = false;
     failures_ = 0;
-    last_success_ = now;
     due_ = now;
     if (step_ == follow_step::watch)
     {
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,15 +1,15 @@
 // An HTTP/1.1 client on one event loop.
 #include "mimosacroft/http/client.hpp"
 
-#include "parse_loop.hpp"
+#include "message_stream.hpp"
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/text.hpp"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -24,7 +24,6 @@
 namespace beast_http = boost::beast::http;
 using parser_type = beast_http::response_parser<beast_http::string_body>;
 
-constexpr std::size_t read_size = std::size_t{8} * 1024;
 // A kept connection is ended this much before the peer would end it, so that no
 // request crosses the peer's close.
 constexpr base::milliseconds idle_margin{500};
@@ -93,8 +92,11 @@
     base::instant last_use() const { return last_use_; }
     void start(exchange_number number, const request& message);
     void end();
-    void sweep_idle(base::instant now);
-    void sweep_busy(base::instant now);
+    /// Idle for longer than the peer keeps it.
+    bool is_worn(base::instant now) const;
+    /// Takes too long to connect.
+    bool is_stuck(base::instant now) const;
+    void fail(exchange_failure why);
 
 private:
     void connect();
@@ -106,23 +108,20 @@
     bool parse();
     void on_message();
     void finish(response&& reply);
-    void fail(exchange_failure why);
 
     std::shared_ptr<impl> owner_;
     tcp::endpoint to_;
     tcp::socket socket_;
-    std::array<char, read_size> buf_{};
-    std::string pending_; ///< read and not yet parsed
-    std::string out_;     ///< the request while it is written
+    read_buffer in_;
+    std::string out_; ///< the request while it is written
     std::optional<parser_type> parser_;
     exchange_number number_ = 0; ///< 0 while idle
     bool is_head_ = false;
     bool connected_ = false;
     bool reusable_ = true;
-    bool reading_ = false;
     bool ended_ = false;
     base::milliseconds idle_time_{0};
-    base::instant last_use_ = std::chrono::steady_clock::now();
+    base::instant last_use_ = base::now();
 };
 
 void client::impl::connection::start(exchange_number number,
@@ -132,7 +131,7 @@
     is_head_ = message.method == "HEAD";
     out_ = serialize(message);
     owner_->moved.sent += out_.size();
-    last_use_ = std::chrono::steady_clock::now();
+    last_use_ = base::now();
     start_parser();
     if (connected_)
         asio::post(owner_->io, [self = shared_from_this()] { self->write(); });
@@ -173,43 +172,29 @@
 {
     if (ended_ || number_ == 0)
         return;
-    error_code ec;
-    const auto n = socket_.write_some(asio::buffer(out_), ec);
-    if (ec && ec != asio::error::would_block)
-    {
-        fail(exchange_failure::lost);
-        return;
-    }
     const auto number = number_;
-    if (ec || n < out_.size())
-    {
-        out_.erase(0, ec ? 0 : n);
-        asio::async_write(
-            socket_, asio::buffer(out_),
-            [self = shared_from_this()](const error_code& failed, std::size_t)
-            {
-                if (failed && !self->ended_)
-                    self->fail(exchange_failure::lost);
-            });
-    }
+    write_all(socket_, out_,
+              [self = shared_from_this()](const error_code& ec)
+              {
+                  if (ec && !self->ended_)
+                      self->fail(exchange_failure::lost);
+              });
+    if (ended_)
+        return;
     read();
     owner_->on.on_sent(number);
 }
 
 void client::impl::connection::read()
 {
-    if (reading_ || ended_)
-        return;
-    reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buf_),
-        [self = shared_from_this()](const error_code& ec, std::size_t n)
-        { self->on_read(ec, n); });
+    if (!ended_)
+        in_.read(socket_, [self = shared_from_this()](const error_code& ec,
+                                                      std::size_t n)
+                 { self->on_read(ec, n); });
 }
 
 void client::impl::connection::on_read(const error_code& ec, std::size_t n)
 {
-    reading_ = false;
     if (ended_)
         return;
     if (ec)
@@ -224,7 +209,6 @@
         return;
     }
     owner_->moved.received += n;
-    pending_.append(buf_.data(), n);
     const auto self = shared_from_this();
     while (parse())
         on_message();
@@ -262,7 +246,7 @@
     if (ended_ || number_ == 0)
         return false;
     error_code ec;
-    const auto outcome = feed(*parser_, pending_, ec);
+    const auto outcome = feed(*parser_, in_.pending, ec);
     if (outcome == parse_outcome::broken)
         fail(exchange_failure::malformed);
     return outcome == parse_outcome::whole;
@@ -272,13 +256,16 @@
 {
     const bool kept = parser_->keep_alive();
     auto reply = to_response(parser_->release());
-    start_parser();
     if (reply.status < first_final_status)
+    {
+        start_parser();
         return;
+    }
     switch (owner_->on.match(number_, reply))
     {
     case reply_match::stray:
         reusable_ = false;
+        start_parser();
         return;
     case reply_match::unusable:
         fail(exchange_failure::malformed);
@@ -286,7 +273,7 @@
     case reply_match::belongs:
         break;
     }
-    reusable_ = reusable_ && kept && pending_.empty();
+    reusable_ = reusable_ && kept && in_.pending.empty();
     finish(std::move(reply));
 }
 
@@ -294,7 +281,7 @@
 {
     const auto self = shared_from_this();
     const auto number = std::exchange(number_, 0);
-    last_use_ = std::chrono::steady_clock::now();
+    last_use_ = base::now();
     owner_->busy.erase(number);
     if (const auto stated = stated_idle_time(reply))
         idle_time_ = std::max(*stated - idle_margin, base::milliseconds(0));
@@ -325,16 +312,14 @@
     owner_->remove(shared_from_this());
 }
 
-void client::impl::connection::sweep_idle(base::instant now)
+bool client::impl::connection::is_worn(base::instant now) const
 {
-    if (now - last_use_ >= idle_time_)
-        end();
+    return now - last_use_ >= idle_time_;
 }
 
-void client::impl::connection::sweep_busy(base::instant now)
+bool client::impl::connection::is_stuck(base::instant now) const
 {
-    if (!connected_ && now - last_use_ >= owner_->options.connect_time)
-        fail(exchange_failure::not_sent);
+    return !connected_ && now - last_use_ >= owner_->options.connect_time;
 }
 
 client::impl::connection_ptr client::impl::take_idle(const tcp::endpoint& to,
@@ -380,7 +365,7 @@
 void client::send(exchange_number number, const tcp::endpoint& to,
                   const request& message, send_options options)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = base::now();
     const auto used_since = options.most_idle == base::milliseconds::max()
                                 ? base::instant::min()
                                 : now - options.most_idle;
@@ -401,24 +386,21 @@
     connection->end();
 }
 
-void client::close_idle(const tcp::endpoint& to)
-{
-    const auto it = impl_->idle.find(to);
-    if (it == impl_->idle.end())
-        return;
-    const auto kept = it->second;
-    std::ranges::for_each(kept, [](const auto& c) { c->end(); });
-}
-
 void client::sweep(base::instant now)
 {
-    const auto idle = impl_->idle;
-    for (const auto& [peer, kept] : idle)
-        std::ranges::for_each(kept,
-                              [now](const auto& it) { it->sweep_idle(now); });
-    const auto busy = impl_->busy;
-    for (const auto& [number, it] : busy)
-        it->sweep_busy(now);
+    std::vector<impl::connection_ptr> worn;
+    for (const auto& [peer, kept] : impl_->idle)
+        std::ranges::copy_if(kept, std::back_inserter(worn),
+                             [now](const auto& it)
+                             { return it->is_worn(now); });
+    std::vector<impl::connection_ptr> stuck;
+    for (const auto& [number, it] : impl_->busy)
+        if (it->is_stuck(now))
+            stuck.push_back(it);
+    // Each of these changes the lists.
+    std::ranges::for_each(worn, [](const auto& it) { it->end(); });
+    std::ranges::for_each(stuck, [](const auto& it)
+                          { it->fail(exchange_failure::not_sent); });
 }
 
 std::uint64_t client::opened() const
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -1,6 +1,8 @@
 // HTTP/1.1 messages as values.
 #include "mimosacroft/http/message.hpp"
 
+#include "mimosacroft/base/text.hpp"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -20,11 +22,6 @@
     {"connection", "keep-alive", "proxy-connection", "te", "trailer",
      "transfer-encoding", "upgrade", "content-length", "expect"});
 
-char lower(char c)
-{
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 void append_headers(std::string& out, const header_list& headers)
 {
     for (const auto& it : headers)
@@ -45,7 +42,7 @@
 
 bool same_name(std::string_view a, std::string_view b)
 {
-    return std::ranges::equal(a, b, {}, lower, lower);
+    return std::ranges::equal(a, b, {}, base::to_lower, base::to_lower);
 }
 
 std::optional<std::string_view> find(const header_list& headers,
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -1,11 +1,11 @@
 // An HTTP/1.1 server on one event loop.
 #include "mimosacroft/http/server.hpp"
 
-#include "parse_loop.hpp"
+#include "mimosacroft/base/clock.hpp"
+
+#include "message_stream.hpp"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
@@ -21,7 +21,6 @@
 namespace beast_http = boost::beast::http;
 using parser_type = beast_http::request_parser<beast_http::string_body>;
 
-constexpr std::size_t read_size = std::size_t{8} * 1024;
 // A caller that sends on while its request is worked on is read no further
 // than this; what it sends then waits in the network.
 constexpr std::size_t most_read_ahead = std::size_t{64} * 1024;
@@ -101,7 +100,7 @@
     /// Whether nothing of a request has come since the last answer.
     bool is_idle() const
     {
-        return !busy() && pending_.empty() && !parser_->got_some();
+        return !busy() && in_.pending.empty() && !parser_->got_some();
     }
 
     std::size_t index = 0; ///< place in impl::all
@@ -117,16 +116,14 @@
 
     std::shared_ptr<impl> owner_;
     tcp::socket socket_;
-    std::array<char, read_size> buf_{};
-    std::string pending_; ///< read and not yet parsed
+    read_buffer in_;
     std::optional<parser_type> parser_;
     std::string out_;
     request_number number_ = 0; ///< the request handed out; 0 for none
     bool keep_alive_ = true;
     bool writing_ = false;
-    bool reading_ = false;
     bool ended_ = false;
-    base::instant last_use_ = std::chrono::steady_clock::now();
+    base::instant last_use_ = base::now();
 };
 
 void server::impl::connection::start_parser()
@@ -140,18 +137,14 @@
 
 void server::impl::connection::read()
 {
-    if (reading_ || ended_ || pending_.size() > most_read_ahead)
-        return;
-    reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buf_),
-        [self = shared_from_this()](const error_code& ec, std::size_t n)
-        { self->on_read(ec, n); });
+    if (!ended_ && in_.pending.size() <= most_read_ahead)
+        in_.read(socket_, [self = shared_from_this()](const error_code& ec,
+                                                      std::size_t n)
+                 { self->on_read(ec, n); });
 }
 
 void server::impl::connection::on_read(const error_code& ec, std::size_t n)
 {
-    reading_ = false;
     if (ended_)
         return;
     if (ec)
@@ -160,8 +153,7 @@
         return;
     }
     owner_->moved.received += n;
-    pending_.append(buf_.data(), n);
-    last_use_ = std::chrono::steady_clock::now();
+    last_use_ = base::now();
     parse();
     read();
 }
@@ -171,7 +163,7 @@
     while (!ended_ && !busy())
     {
         error_code ec;
-        const auto outcome = feed(*parser_, pending_, ec);
+        const auto outcome = feed(*parser_, in_.pending, ec);
         if (outcome == parse_outcome::needs_more)
             return;
         if (outcome == parse_outcome::whole)
@@ -195,7 +187,7 @@
 // ends with the refusal.
 void server::impl::connection::refuse(unsigned status)
 {
-    pending_.clear();
+    in_.pending.clear();
     keep_alive_ = false;
     response reply;
     reply.status = status;
@@ -214,36 +206,23 @@
 void server::impl::connection::write(std::string bytes)
 {
     owner_->moved.sent += bytes.size();
-    error_code ec;
-    const auto n = socket_.write_some(asio::buffer(bytes), ec);
-    if (ec && ec != asio::error::would_block)
-    {
-        end();
-        return;
-    }
+    out_ = std::move(bytes);
     writing_ = true;
-    if (!ec && n == bytes.size())
-    {
-        on_written();
-        return;
-    }
-    out_ = ec ? std::move(bytes) : bytes.substr(n);
-    asio::async_write(
-        socket_, asio::buffer(out_),
-        [self = shared_from_this()](const error_code& failed, std::size_t)
-        {
-            if (failed)
-                self->end();
-            else
-                self->on_written();
-        });
+    write_all(socket_, out_,
+              [self = shared_from_this()](const error_code& ec)
+              {
+                  if (ec)
+                      self->end();
+                  else
+                      self->on_written();
+              });
 }
 
 void server::impl::connection::on_written()
 {
     writing_ = false;
     out_.clear();
-    last_use_ = std::chrono::steady_clock::now();
+    last_use_ = base::now();
     if (ended_)
         return;
     if (!keep_alive_)
@@ -252,7 +231,7 @@
         close_sending_side(socket_);
         return;
     }
-    if (pending_.empty())
+    if (in_.pending.empty())
         return;
     asio::post(socket_.get_executor(),
                [self = shared_from_this()]
--- a/lib/net/http_convert.cpp
+++ b/lib/net/http_convert.cpp
@@ -1,8 +1,9 @@
 // Conversions between the HTTP library's messages and ours.
 #include "http_convert.hpp"
 
+#include "mimosacroft/base/text.hpp"
+
 #include <algorithm>
-#include <cctype>
 #include <cstdlib>
 
 namespace mimosacroft::net
@@ -24,8 +25,7 @@
 
 std::string lower_case(std::string text)
 {
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c)
-                   { return static_cast<char>(std::tolower(c)); });
+    std::transform(text.begin(), text.end(), text.begin(), base::to_lower);
     return text;
 }
 
--- a/lib/operate/log_explainer.cpp
+++ b/lib/operate/log_explainer.cpp
@@ -1,10 +1,10 @@
 // From a request's id to its cause.
 #include "mimosacroft/operate/log_explainer.hpp"
 
+#include "mimosacroft/base/utc_time.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cstdio>
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -54,21 +54,6 @@
     {"no answer", "a server was still at work when the answer left"},
 });
 
-milliseconds to_time(const std::string& text)
-{
-    std::tm parts{};
-    int ms = 0;
-    const int n = std::sscanf(
-        text.c_str(), "%d-%d-%dT%d:%d:%d.%dZ", &parts.tm_year, &parts.tm_mon,
-        &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &ms);
-    constexpr int all = 7;
-    if (n != all)
-        return milliseconds(0);
-    parts.tm_year -= 1900;
-    parts.tm_mon -= 1;
-    return base::seconds(::timegm(&parts)) + milliseconds(ms);
-}
-
 std::string text_of(const ordered_json& value)
 {
     return value.is_string() ? value.get<std::string>() : value.dump();
@@ -165,7 +150,7 @@
         else if (key != "level" && key != "event")
             out.fields.emplace_back(key, text_of(value));
     }
-    out.at = to_time(out.time);
+    out.at = base::parse_log_time(out.time).value_or(milliseconds(0));
     return out;
 }
 
--- a/lib/query/claim_sweeper.cpp
+++ b/lib/query/claim_sweeper.cpp
@@ -1,7 +1,7 @@
 // Removes claims whose keys are too old to be sent again.
 #include "mimosacroft/query/claim_sweeper.hpp"
 
-#include "mimosacroft/base/http_date.hpp"
+#include "mimosacroft/base/utc_time.hpp"
 
 #include <algorithm>
 #include <cstdlib>
--- a/lib/query/claims.cpp
+++ b/lib/query/claims.cpp
@@ -2,7 +2,7 @@
 #include "mimosacroft/query/claims.hpp"
 
 #include "mimosacroft/base/crypto.hpp"
-#include "mimosacroft/base/http_date.hpp"
+#include "mimosacroft/base/utc_time.hpp"
 
 #include <algorithm>
 #include <array>
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -1,8 +1,8 @@
 // A small stand-in of the platform's object API: versions, conditional updates,
 // waiting reads of changes, and a list of entry VMs that lags. Its faults are
 // switched on by POST /standin/faults. Keeps everything in memory.
-#include "mimosacroft/base/http_date.hpp"
 #include "mimosacroft/base/text.hpp"
+#include "mimosacroft/base/utc_time.hpp"
 #include "mimosacroft/daemon/serve.hpp"
 #include "mimosacroft/daemon/settings.hpp"
 #include "mimosacroft/daemon/wall_clock.hpp"
--- a/unittests/entry/store_feed_test.cpp
+++ b/unittests/entry/store_feed_test.cpp
@@ -4,6 +4,7 @@
 
 #include "../platform/standin_wire.hpp"
 #include "../platform/store_standin.hpp"
+#include "../support/loopback.hpp"
 #include "platform/store.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -13,23 +14,8 @@
 
 using namespace mimosacroft;
 using base::milliseconds;
-
-namespace
-{
-
-http::tcp::endpoint free_endpoint(http::asio::io_context& io)
-{
-    const http::tcp::acceptor probe(
-        io, {http::asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint();
-}
-
-std::string text_of(const http::tcp::endpoint& it)
-{
-    return it.address().to_string() + ":" + std::to_string(it.port());
-}
-
-} // namespace
+using tests::free_endpoint;
+using tests::text_of;
 
 TEST_GROUP(store_feed)
 {
@@ -82,21 +68,14 @@
                                         .on_call_ended = [](const auto&) {}});
     }
 
-    /// How long until it is true; nothing if that takes five seconds.
-    std::optional<milliseconds> time_until(const std::function<bool()>& fn)
+    /// How long until it holds; nothing if it never does.
+    std::optional<milliseconds> time_until(const std::function<bool()>& holds)
     {
-        const auto begin = std::chrono::steady_clock::now();
-        while (!fn())
-        {
-            const auto now = std::chrono::steady_clock::now();
-            if (now - begin > base::seconds(5))
-                return std::nullopt;
-            feed->tick(now);
-            io.run_for(milliseconds(2));
-            io.restart();
-        }
-        return std::chrono::duration_cast<milliseconds>(
-            std::chrono::steady_clock::now() - begin);
+        const auto begin = base::now();
+        if (!tests::run_until(io, holds,
+                              [this](base::instant now) { feed->tick(now); }))
+            return std::nullopt;
+        return std::chrono::duration_cast<milliseconds>(base::now() - begin);
     }
 
     bool knows(std::uint64_t version) const
--- a/unittests/entry/store_watch_test.cpp
+++ b/unittests/entry/store_watch_test.cpp
@@ -5,6 +5,8 @@
 #include "mimosacroft/entry/store_watch.hpp"
 
 #include "../platform/store_standin.hpp"
+#include "../support/loopback.hpp"
+#include "platform/store.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <functional>
@@ -14,25 +16,15 @@
 
 using namespace mimosacroft;
 using base::milliseconds;
+using tests::free_endpoint;
 using tests::store_mode;
+using tests::text_of;
 
 namespace
 {
 
 using change_list = std::vector<gateway::object_change>;
 
-http::tcp::endpoint free_endpoint(http::asio::io_context& io)
-{
-    const http::tcp::acceptor probe(
-        io, {http::asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint();
-}
-
-std::string text_of(const http::tcp::endpoint& it)
-{
-    return it.address().to_string() + ":" + std::to_string(it.port());
-}
-
 // What one VM knows of a kind, and how it learns it.
 struct reader
 {
@@ -78,23 +70,10 @@
     tests::store_standin store{io, store_at};
     reader own{io, text_of(store_at)};
 
-    /// Runs until it is true; false when it is not within five seconds.
-    bool run_until(const std::function<bool()>& fn,
-                   const std::vector<reader*>& more = {})
+    bool run_until(const std::function<bool()>& holds)
     {
-        const auto due = std::chrono::steady_clock::now() + base::seconds(5);
-        while (!fn())
-        {
-            const auto now = std::chrono::steady_clock::now();
-            if (now > due)
-                return false;
-            own.watch.tick(now);
-            for (auto* it : more)
-                it->watch.tick(now);
-            io.run_for(milliseconds(2));
-            io.restart();
-        }
-        return true;
+        return tests::run_until(io, holds, [this](base::instant now)
+                                { own.watch.tick(now); });
     }
 };
 
@@ -163,8 +142,7 @@
             std::vector<const entry::store_watch*>{&parent.watch},
             [this](auto number, const auto& reply)
             { peers->answer(number, reply); });
-        parent.on_call_ended = [this]
-        { spread->serve("things", std::chrono::steady_clock::now()); };
+        parent.on_call_ended = [this] { spread->serve("things", base::now()); };
         peers.emplace(
             io, parent_at,
             http::server::handlers{
@@ -173,30 +151,23 @@
                 {
                     const auto it = entry::decode_spread_request(message);
                     CHECK(it.has_value());
-                    spread->on_request(number, *it,
-                                       std::chrono::steady_clock::now());
+                    spread->on_request(number, *it, base::now());
                 },
                 .on_leave = [this](auto number) { spread->on_leave(number); }});
         child.watch.sources().set({"vm-2", "127.0.0.1:1", "dc", 0},
                                   {{"vm-1", text_of(parent_at), "dc", 0}}, {});
     }
 
-    bool run_until(const std::function<bool()>& fn, bool parent_works = true)
+    bool run_until(const std::function<bool()>& holds, bool parent_works = true)
     {
-        const auto due = std::chrono::steady_clock::now() + base::seconds(5);
-        while (!fn())
+        const auto step = [this, parent_works](base::instant now)
         {
-            const auto now = std::chrono::steady_clock::now();
-            if (now > due)
-                return false;
             if (parent_works)
                 parent.watch.tick(now);
             child.watch.tick(now);
             spread->serve_due(now);
-            io.run_for(milliseconds(2));
-            io.restart();
-        }
-        return true;
+        };
+        return tests::run_until(io, holds, step);
     }
 };
 
@@ -212,10 +183,10 @@
 TEST(spread_server, news_pass_at_once)
 {
     CHECK(run_until([this] { return child.watch.is_complete(); }));
-    const auto before = std::chrono::steady_clock::now();
+    const auto before = base::now();
     store.put("things", "a", {{"n", 1}});
     CHECK(run_until([this] { return child.known.contains("a"); }));
-    const auto took = std::chrono::steady_clock::now() - before;
+    const auto took = base::now() - before;
     // Far less than the next time at which the child would ask.
     CHECK(took < milliseconds(150));
     LONGS_EQUAL(0, child.watch.store_calls());
@@ -238,30 +209,24 @@
     entry::registration own{
         io, text_of(store_at), {"vm-1", "127.0.0.1:1", "dc", 0}, 1};
 
-    bool run_until(const std::function<bool()>& fn)
+    bool run_until(const std::function<bool()>& holds)
     {
-        const auto due = std::chrono::steady_clock::now() + base::seconds(8);
-        while (!fn())
-        {
-            const auto now = std::chrono::steady_clock::now();
-            if (now > due)
-                return false;
-            if (own.next_due() <= now)
-                own.tick(now);
-            io.run_for(milliseconds(2));
-            io.restart();
-        }
-        return true;
+        return tests::run_until(io, holds,
+                                [this](base::instant now)
+                                {
+                                    if (own.next_due() <= now)
+                                        own.tick(now);
+                                });
     }
     bool is_listed() const
     {
-        return store.has("entry-vms", "vm-1");
+        return store.has(std::string(platform::vms_kind), "vm-1");
     }
 };
 
 TEST(registration, an_entry_of_an_earlier_start_is_replaced)
 {
-    store.put("entry-vms", "vm-1", {{"address", "old"}});
+    store.put(std::string(platform::vms_kind), "vm-1", {{"address", "old"}});
     const auto before = store.revision();
     CHECK(run_until([&] { return store.revision() > before; }));
     CHECK(is_listed());
@@ -285,11 +250,7 @@
 {
     CHECK(run_until([this] { return is_listed(); }));
     CHECK(run_until(
-        [this]
-        {
-            return own.next_due() >
-                   std::chrono::steady_clock::now() + base::seconds(10);
-        }));
+        [this] { return own.next_due() > base::now() + base::seconds(10); }));
     own.withdraw();
     CHECK(run_until([this] { return !is_listed(); }));
 }
--- a/unittests/http/loop_peer.hpp
+++ b/unittests/http/loop_peer.hpp
@@ -3,11 +3,12 @@
 #ifndef UNITTESTS_HTTP_LOOP_PEER_HPP
 #define UNITTESTS_HTTP_LOOP_PEER_HPP
 
+#include "../support/loopback.hpp"
+
 #include "mimosacroft/http/asio.hpp"
 
 #include <array>
 #include <boost/asio/write.hpp>
-#include <functional>
 #include <string>
 #include <tuple>
 
@@ -18,28 +19,9 @@
 using http::tcp;
 using http::asio::io_context;
 
-/// Far longer than anything here takes; a test that reaches it has failed.
-inline constexpr base::seconds patience{10};
-
-inline const tcp::endpoint any_port{http::asio::ip::address_v4::loopback(), 0};
-
-/// Runs the loop until something holds; false if it never does.
-inline bool run_until(io_context& io, const std::function<bool()>& holds)
-{
-    const auto due = std::chrono::steady_clock::now() + patience;
-    while (!holds() && std::chrono::steady_clock::now() < due)
-    {
-        io.restart();
-        io.run_for(base::milliseconds(5));
-    }
-    return holds();
-}
-
-/// A free port of loopback.
-inline tcp::endpoint free_endpoint(io_context& io)
-{
-    return tcp::acceptor(io, any_port).local_endpoint();
-}
+using tests::any_port;
+using tests::free_endpoint;
+using tests::run_until;
 
 class loop_peer
 {
--- a/unittests/query/claim_sweeper_test.cpp
+++ b/unittests/query/claim_sweeper_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the removal of old claims, against a platform that is played here.
 #include "mimosacroft/query/claim_sweeper.hpp"
 
-#include "mimosacroft/base/http_date.hpp"
+#include "mimosacroft/base/utc_time.hpp"
 #include "mimosacroft/query/claims.hpp"
 #include "query_fixture.hpp"
 
--- a/unittests/query/claims_test.cpp
+++ b/unittests/query/claims_test.cpp
@@ -1,7 +1,7 @@
 // Tests of claims, against a platform that is played by hand.
 #include "mimosacroft/query/claims.hpp"
 
-#include "mimosacroft/base/http_date.hpp"
+#include "mimosacroft/base/utc_time.hpp"
 #include "query_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
--- a/unittests/soak/standin_server.cpp
+++ b/unittests/soak/standin_server.cpp
@@ -1,6 +1,8 @@
 // A server for the soak.
 #include "standin_server.hpp"
 
+#include "../support/loopback.hpp"
+
 #include <memory>
 
 namespace mimosacroft::tests
@@ -16,11 +18,6 @@
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
 
-std::string text_of(const http::tcp::endpoint& it)
-{
-    return it.address().to_string() + ":" + std::to_string(it.port());
-}
-
 } // namespace
 
 standin_server::standin_server(http::asio::io_context& io, ledger& seen,
@@ -55,8 +52,8 @@
         return;
     }
     const bool runs = mode_ != server_mode::refuses;
-    seen_.arrivals.push_back({std::chrono::steady_clock::now(), question.id,
-                              entry_.service, entry_.id, runs});
+    seen_.arrivals.push_back(
+        {base::now(), question.id, entry_.service, entry_.id, runs});
     if (!runs)
         server_.answer(number, server_refusal(question, status_unavailable));
     else if (mode_ == server_mode::fails)
--- a/unittests/soak/world.cpp
+++ b/unittests/soak/world.cpp
@@ -33,16 +33,6 @@
 constexpr milliseconds pause_tail{500};
 constexpr unsigned status_ok = 200;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-std::string text_of(const http::tcp::endpoint& it)
-{
-    return it.address().to_string() + ":" + std::to_string(it.port());
-}
-
 gateway::search_ptr make_search(const std::string& name,
                                 gateway::repeatability repeats)
 {
@@ -86,7 +76,7 @@
                 {
                     auto& it = seen_.callers.at(open_.at(number));
                     open_.erase(number);
-                    it.ended = now();
+                    it.ended = base::now();
                     it.answer = read_answer(message);
                 },
                 .on_failure =
@@ -94,7 +84,7 @@
                 {
                     auto& it = seen_.callers.at(open_.at(number));
                     open_.erase(number);
-                    it.ended = now();
+                    it.ended = base::now();
                     // A caller goes to another VM if it finds none here.
                     it.broken = why != http::exchange_failure::not_sent;
                     if (!it.broken)
@@ -178,9 +168,9 @@
     versioned.path_prefix = "/" + versioned.name + "/";
     all.push_back(versioned);
     std::vector<gateway::service_settings> services;
-    services.push_back({"record", "", 40});
+    services.push_back({"record", 40});
     for (const auto& it : searches_.front()->shards)
-        services.push_back({it, "", 40});
+        services.push_back({it, 40});
     store_.put(std::string(platform::configuration_kind), configuration_name,
                configuration_object(version_, all, services));
 }
@@ -224,9 +214,10 @@
     ++it.starts;
     it.settings.is_first_start = false;
     it.may_be_asked = true;
-    seen_.vm_starts.push_back(now());
+    seen_.vm_starts.push_back(base::now());
     // Until it listens and has read the store.
-    seen_.vm_gone[n].push_back({now(), now() + milliseconds(1'500)});
+    seen_.vm_gone[n].push_back(
+        {base::now(), base::now() + milliseconds(1'500)});
 }
 
 void world::run_for(milliseconds length)
@@ -247,7 +238,7 @@
     if (!it.running)
         return;
     it.running.reset();
-    seen_.vm_gone[n].push_back({now(), now() + away});
+    seen_.vm_gone[n].push_back({base::now(), base::now() + away});
     after(away, [this, n] { start_vm(n); });
 }
 
@@ -258,7 +249,7 @@
         return;
     it.running->signal(SIGTERM);
     it.may_be_asked = false;
-    const auto at = now();
+    const auto at = base::now();
     // From here on new callers may find it closed.
     seen_.vm_gone[n].push_back(
         {at + balancer_delay, at + it.settings.stop_grace});
@@ -280,7 +271,7 @@
         start_vm(n);
         return;
     }
-    if (now() > by)
+    if (base::now() > by)
         broken_.push_back("VM " + std::to_string(n) + " does not stop");
     else
         after(sweep_period, [this, n, by] { watch_stop(n, by); });
@@ -292,7 +283,8 @@
     if (!it.running || !it.may_be_asked)
         return;
     it.running->signal(SIGSTOP);
-    seen_.vm_paused[n].push_back({now(), now() + length + pause_tail});
+    seen_.vm_paused[n].push_back(
+        {base::now(), base::now() + length + pause_tail});
     after(length,
           [this, n]
           {
@@ -313,7 +305,7 @@
 
 void world::note_trouble(milliseconds length)
 {
-    seen_.trouble.push_back({now(), now() + length});
+    seen_.trouble.push_back({base::now(), base::now() + length});
 }
 
 void world::replace_server(std::size_t n)
@@ -334,9 +326,9 @@
     it.set_leaving(leaving);
     auto& times = seen_.leaving[it.entry().id];
     if (leaving)
-        times.push_back({now(), base::never});
+        times.push_back({base::now(), base::never});
     else if (!times.empty())
-        times.back().to = now();
+        times.back().to = base::now();
     store_.put(std::string(platform::servers_kind), it.entry().id,
                server_object(it.entry()));
 }
@@ -345,19 +337,21 @@
 {
     ++version_;
     put_configuration();
-    after(in_force_after, [this, version = version_] { probe(version); });
+    after(in_force_after,
+          [this, version = version_]
+          {
+              if (version == version_)
+                  probe_configuration();
+          });
 }
 
-// Asks each VM for a path that only this version knows, if it is the newest.
-void world::probe(std::uint64_t version)
+void world::probe_configuration()
 {
-    if (version != version_)
-        return;
     for (std::size_t n = 0; n < vms_.size(); ++n)
         if (vms_.at(n).running && vms_.at(n).may_be_asked)
             seen_.probes.push_back(
-                {send(n, nullptr, "/v" + std::to_string(version) + "/x"),
-                 now() - in_force_after});
+                {send(n, nullptr, "/v" + std::to_string(version_) + "/x"),
+                 base::now() - in_force_after});
 }
 
 void world::set_load(bool on)
@@ -387,7 +381,7 @@
     it.id = "r" + std::to_string(n);
     it.search = search;
     it.vm = vm;
-    it.sent = now();
+    it.sent = base::now();
     seen_.callers.push_back(it);
     open_[n + 1] = n;
     callers_.send(n + 1, vms_.at(vm).callers,
@@ -397,7 +391,7 @@
 
 void world::sweep()
 {
-    const auto at = now();
+    const auto at = base::now();
     callers_.sweep(at);
     std::vector<http::exchange_number> late;
     for (const auto& [number, n] : open_)
@@ -423,8 +417,8 @@
         const auto& answer = seen_.callers.at(n).answer;
         return answer && answer->status == status_ok;
     };
-    const auto due = now() + deadline + milliseconds(500);
-    while (now() < due && !std::ranges::all_of(asked, is_served))
+    const auto due = base::now() + deadline + milliseconds(500);
+    while (base::now() < due && !std::ranges::all_of(asked, is_served))
         run_for(sweep_period);
     return static_cast<std::size_t>(std::ranges::count_if(asked, is_served));
 }
--- a/unittests/soak/world.hpp
+++ b/unittests/soak/world.hpp
@@ -4,6 +4,7 @@
 #define MIMOSACROFT_UNITTESTS_SOAK_WORLD_HPP
 
 #include "../platform/store_standin.hpp"
+#include "../support/loopback.hpp"
 #include "../support/process.hpp"
 #include "ledger.hpp"
 #include "proxy.hpp"
@@ -61,6 +62,9 @@
     /// A new version; every VM that was not disturbed must know it in time.
     void change_configuration();
 
+    /// Asks each VM for a path that only the newest version knows.
+    void probe_configuration();
+
     /// Sends requests as callers do until told to stop.
     void set_load(bool on);
     /// One request to each VM; the number of those answered with 200 in time.
@@ -95,7 +99,6 @@
     std::size_t send(std::size_t vm, const gateway::search_ptr& search,
                      const std::string& path);
     void sweep();
-    void probe(std::uint64_t version);
 
     world_options options_;
     std::minstd_rand random_;
