--- a/unittests/soak/entry_soak.cpp
+++ b/unittests/soak/entry_soak.cpp
@@ -93,6 +93,7 @@
     in.set_load(true);
     const auto faults = inflict_faults(in, seed, options.length);
     in.run_for(tests::longest_fault + recovery_time);
+    in.plan_work();
     in.set_load(false);
     in.probe_configuration();
     const auto answered = in.ask_all();
--- a/unittests/soak/ledger.cpp
+++ b/unittests/soak/ledger.cpp
@@ -148,7 +148,7 @@
     if (!it.answer && !it.broken && !was_disturbed(it))
         return "had no answer";
     if (it.broken && !was_gone(it))
-        return "had its connection broken by a VM that was there";
+        return "was refused or cut off by a VM that was there";
     const auto took = it.ended - it.sent;
     const auto most = it.search ? it.search->timeout : milliseconds(2'000);
     if (it.answer && took > most + lateness && !was_disturbed(it))
--- a/unittests/soak/ledger.hpp
+++ b/unittests/soak/ledger.hpp
@@ -37,7 +37,7 @@
     base::instant sent{};
     base::instant ended{};
     std::optional<caller_answer> answer;
-    bool broken = false; ///< its connection ended without an answer
+    bool broken = false; ///< it found no connection, or lost it
 };
 
 /// A request at a server.
--- a/unittests/soak/world.cpp
+++ b/unittests/soak/world.cpp
@@ -23,7 +23,7 @@
 // A caller that waits longer than this has been forgotten.
 constexpr milliseconds forgotten_after{5'000};
 // The balancer asks a VM once a second whether it takes requests, and believes
-// the second answer.
+// the second answer: until then a VM that stops must take them.
 constexpr milliseconds balancer_delay{2'000};
 // A configuration is in force this long after it was written.
 constexpr milliseconds in_force_after{3'000};
@@ -31,6 +31,8 @@
 constexpr milliseconds stop_lateness{500};
 // Requests that were late when a pause ended are answered within this.
 constexpr milliseconds pause_tail{500};
+// A VM stops, starts again and serves within this.
+constexpr milliseconds planned_time{6'000};
 constexpr unsigned status_ok = 200;
 
 gateway::search_ptr make_search(const std::string& name,
@@ -70,26 +72,15 @@
 world::world(world_options options)
     : options_(std::move(options)), random_(options_.seed),
       store_at_(free_endpoint()), store_(io_, store_at_),
-      callers_(io_,
-               {.on_reply =
-                    [this](auto number, http::response&& message)
-                {
-                    auto& it = seen_.callers.at(open_.at(number));
-                    open_.erase(number);
-                    it.ended = base::now();
-                    it.answer = read_answer(message);
-                },
-                .on_failure =
-                    [this](auto number, auto why)
-                {
-                    auto& it = seen_.callers.at(open_.at(number));
-                    open_.erase(number);
-                    it.ended = base::now();
-                    // A caller goes to another VM if it finds none here.
-                    it.broken = why != http::exchange_failure::not_sent;
-                    if (!it.broken)
-                        seen_.vm_gone[it.vm].push_back({it.sent, it.ended});
-                }})
+      callers_(io_, {.on_reply =
+                         [this](auto number, http::response&& message)
+                     {
+                         auto& it = end_of(number);
+                         it.answer = read_answer(message);
+                         note_serves(it.vm);
+                     },
+                     .on_failure = [this](auto number, auto)
+                     { end_of(number).broken = true; }})
 {
     seen_.budget = {0.2, 40, base::seconds(10)};
     seen_.fleet_size = options_.vms;
@@ -215,9 +206,23 @@
     it.settings.is_first_start = false;
     it.may_be_asked = true;
     seen_.vm_starts.push_back(base::now());
-    // Until it listens and has read the store.
-    seen_.vm_gone[n].push_back(
-        {base::now(), base::now() + milliseconds(1'500)});
+    // Until it answers for the first time.
+    it.start_span = seen_.vm_gone[n].size();
+    seen_.vm_gone[n].push_back({base::now(), base::never});
+}
+
+caller_record& world::end_of(http::exchange_number number)
+{
+    auto& out = seen_.callers.at(open_.at(number));
+    open_.erase(number);
+    out.ended = base::now();
+    return out;
+}
+
+void world::note_serves(std::size_t vm)
+{
+    auto& span = seen_.vm_gone[vm].at(vms_.at(vm).start_span);
+    span.to = std::min(span.to, base::now());
 }
 
 void world::run_for(milliseconds length)
@@ -345,6 +350,16 @@
           });
 }
 
+void world::plan_work()
+{
+    const auto leaving = random_() % servers_.size();
+    set_leaving(leaving, true);
+    stop_vm(random_() % vms_.size());
+    change_configuration();
+    run_for(planned_time);
+    set_leaving(leaving, false);
+}
+
 void world::probe_configuration()
 {
     for (std::size_t n = 0; n < vms_.size(); ++n)
@@ -399,8 +414,7 @@
             late.push_back(number);
     for (const auto number : late)
     {
-        seen_.callers.at(open_.at(number)).ended = at;
-        open_.erase(number);
+        end_of(number);
         callers_.drop(number);
     }
     after(sweep_period, [this] { sweep(); });
--- a/unittests/soak/world.hpp
+++ b/unittests/soak/world.hpp
@@ -62,6 +62,9 @@
     /// A new version; every VM that was not disturbed must know it in time.
     void change_configuration();
 
+    /// Work of operators, in calm: a server leaves, a VM stops, a configuration
+    /// changes. No caller may notice.
+    void plan_work();
     /// Asks each VM for a path that only the newest version knows.
     void probe_configuration();
 
@@ -85,6 +88,7 @@
         std::string listed_peer;  ///< where other VMs reach it
         bool may_be_asked = true; ///< as the balancer sees it
         int starts = 0;
+        std::size_t start_span = 0; ///< of ledger::vm_gone
     };
 
     http::tcp::endpoint free_endpoint();
@@ -93,6 +97,9 @@
     void make_vm(std::size_t n);
     void write_settings(const vm_state& it) const;
     void start_vm(std::size_t n);
+    /// The record of a request that is over.
+    caller_record& end_of(http::exchange_number number);
+    void note_serves(std::size_t vm);
     void watch_stop(std::size_t n, base::instant by);
     void put_configuration();
     void send_load();
