Limits that servers state are decoded, logged and counted

Now the adapter decodes it, each server keeps what it stated, events 324 and 325 say when a limit begins, changes and ends, with the sends of this VM meanwhile, and two metrics count limited servers and the sends to them, first or again. A limit ends only with an answer whose request was sent after the limit was last stated, since answers overtake each other; a test holds that.

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -44,6 +44,8 @@
     server_removed = 321,
     server_entry_refused = 322,
     server_returned = 323,
+    server_limited = 324,
+    server_unlimited = 325,
     // 400 to 499: members, views and links.
     view_changed = 400,
     peer_lost = 401,
@@ -119,6 +121,8 @@
     {event_id::server_removed, severity::info, "server_removed"},
     {event_id::server_entry_refused, severity::warning, "server_entry_refused"},
     {event_id::server_returned, severity::info, "server_returned"},
+    {event_id::server_limited, severity::warning, "server_limited"},
+    {event_id::server_unlimited, severity::info, "server_unlimited"},
     {event_id::view_changed, severity::info, "view_changed"},
     {event_id::peer_lost, severity::warning, "peer_lost"},
     {event_id::link_refused, severity::warning, "link_refused"},
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -97,6 +98,14 @@
     std::uint64_t hedges() const { return hedges_; }
     std::size_t fleet_size() const { return fleet_size_; }
 
+    /// Sends to servers that state a limit, since the start.
+    struct limited_sends
+    {
+        std::uint64_t first = 0; ///< first sends of their part
+        std::uint64_t again = 0; ///< hedges and retries
+    };
+    const limited_sends& sends_to_limited() const { return limited_sends_; }
+
 private:
     /// One send of a request to a server, or to another VM as a relay.
     struct exchange
@@ -174,6 +183,10 @@
 
     // Results.
     exchange remove_exchange(exchange_number number);
+    /// Takes over the limit that an answer of `from` stated, or its lack.
+    static void note_limit(server& from, std::optional<double> per_second,
+                           base::instant sent_at, base::instant now,
+                           effects& out);
     /// Records the outcome of an exchange that ended. Returns its query, or
     /// null if that was closed.
     query* record_outcome(exchange_number number, const exchange& it,
@@ -215,6 +228,7 @@
     std::size_t fleet_size_ = 1;
     std::uint64_t sends_ = 0;
     std::uint64_t hedges_ = 0;
+    limited_sends limited_sends_;
     exchange_number last_exchange_ = 0;
     std::unordered_map<query_number, query> queries_;
     std::unordered_map<exchange_number, exchange> exchanges_;
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -42,6 +42,8 @@
     bool misdirected = false; ///< another server now answers at the address
     std::string signature;    ///< empty if the server did not sign the reply
     std::optional<reported_load> load;
+    /// Requests per second that the server takes from all VMs together.
+    std::optional<double> rate_limit;
     http::response message;
 
     bool is_success() const
--- a/include/mimosacroft/gateway/server_pool.hpp
+++ b/include/mimosacroft/gateway/server_pool.hpp
@@ -42,6 +42,15 @@
     std::size_t slots = 0;
 };
 
+/// The limit that a server in need states in its answers.
+struct stated_limit
+{
+    double per_second = 0;   ///< requests that it takes from all VMs together
+    base::instant since{};   ///< arrival of the first answer with a limit
+    base::instant last_at{}; ///< arrival of the last answer with a limit
+    std::uint64_t sends = 0; ///< of this VM since then
+};
+
 /// Identifies one incarnation of a server; never reused.
 using server_number = std::uint64_t;
 
@@ -71,7 +80,8 @@
     base::instant latency_ratio_at{};
     std::optional<reported_load> load;
     base::instant load_at{};
-    unsigned failures = 0; ///< consecutive
+    std::optional<stated_limit> limit; ///< empty if it states none
+    unsigned failures = 0;             ///< consecutive
     base::instant avoid_until{};
 
     /// Time for which the server has had exchanges in flight without replying
@@ -122,6 +132,8 @@
     /// Returns the ids of all listed servers.
     std::vector<std::string> listed_ids() const;
     std::size_t size() const { return by_number_.size(); }
+    /// Number of servers that state a limit.
+    std::size_t limited() const;
 
     void on_sent(server& it, base::instant now);
     /// `expected` is the usual latency of such a request, without the network
@@ -131,6 +143,12 @@
     /// The server refused the request without executing it.
     void on_refused(server& it, base::instant sent_at, base::instant now,
                     std::optional<reported_load> load);
+    /// An answer to a request sent at `sent_at` stated this limit, or none. It
+    /// lifts a limit only if the request was sent after that was last stated,
+    /// since answers may overtake each other. Returns whether the limit
+    /// changed.
+    static bool on_stated_limit(server& it, std::optional<double> per_second,
+                                base::instant sent_at, base::instant now);
     void on_failure(server& it, base::instant sent_at, base::instant now);
     /// This VM canceled the exchange, which says nothing about the server.
     void on_canceled(server& it, base::instant sent_at);
--- a/lib/entry/entry_metrics.cpp
+++ b/lib/entry/entry_metrics.cpp
@@ -74,6 +74,13 @@
                   to_metric_value(source.open_exchanges()));
     registry_.set("mimosa_sends_total", to_metric_value(source.sends()));
     registry_.set("mimosa_hedges_total", to_metric_value(source.hedges()));
+    registry_.set("mimosa_limited_servers",
+                  to_metric_value(source.servers().limited()));
+    const auto& limited = source.sends_to_limited();
+    registry_.set(with_label("mimosa_sends_to_limited_total", "send", "first"),
+                  to_metric_value(limited.first));
+    registry_.set(with_label("mimosa_sends_to_limited_total", "send", "again"),
+                  to_metric_value(limited.again));
 }
 
 void entry_metrics::collect(const store_watch& source, base::instant now)
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -6,6 +6,7 @@
 #include "mimosacroft/base/stable_hash.hpp"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace mimosacroft::gateway
 {
@@ -66,6 +67,30 @@
             {{"peer", it.entry.id}, {"failures", std::to_string(it.failures)}}};
 }
 
+std::string to_text(double per_second)
+{
+    char buf[32];
+    std::snprintf(buf, sizeof(buf), "%g", per_second);
+    return buf;
+}
+
+core::log_event limited_event(const server& it)
+{
+    return {core::event_id::server_limited,
+            {{"peer", it.entry.id},
+             {"upstream", it.entry.service},
+             {"per_second", to_text(it.limit->per_second)}}};
+}
+
+core::log_event unlimited_event(const server& it, const stated_limit& before,
+                                instant now)
+{
+    return {core::event_id::server_unlimited,
+            {{"peer", it.entry.id},
+             {"sends", std::to_string(before.sends)},
+             {"ms", std::to_string(base::to_ms(now - before.since))}}};
+}
+
 core::log_event ejected_event(const server& it)
 {
     return {core::event_id::server_ejected,
@@ -227,6 +252,8 @@
     it.search = q.search->name;
     cancel_timers_.emplace(it.cancel_at, number);
     exchanges_.emplace(number, std::move(it));
+    if (to.limit)
+        ++(p.attempts_used == 0 ? limited_sends_.first : limited_sends_.again);
     servers_.on_sent(to, now);
 
     p.state = part_state::open;
@@ -330,6 +357,16 @@
         found->second.written = true;
 }
 
+void gateway::note_limit(server& from, std::optional<double> per_second,
+                         instant sent_at, instant now, effects& out)
+{
+    const auto before = from.limit;
+    if (!server_pool::on_stated_limit(from, per_second, sent_at, now))
+        return;
+    out.events.push_back(from.limit ? limited_event(from)
+                                    : unlimited_event(from, *before, now));
+}
+
 void gateway::on_reply(exchange_number number, server_reply&& reply,
                        instant now, effects& out)
 {
@@ -341,6 +378,8 @@
     if (auto* from = servers_.find(it.to))
     {
         service = from->entry.service;
+        if (!reply.misdirected)
+            note_limit(*from, reply.rate_limit, it.sent_at, now, out);
         if (reply.misdirected)
             servers_.forget(it.to);
         else if (!reply.executed)
--- a/lib/gateway/server_pool.cpp
+++ b/lib/gateway/server_pool.cpp
@@ -264,9 +264,18 @@
     return out;
 }
 
+std::size_t server_pool::limited() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(by_number_, [](const auto& one)
+                              { return one.second->limit.has_value(); }));
+}
+
 void server_pool::on_sent(server& it, instant now)
 {
     it.in_flight.push_back(now);
+    if (it.limit)
+        ++it.limit->sends;
 }
 
 void server_pool::on_reply(server& it, instant sent_at, instant now,
@@ -296,6 +305,24 @@
     record_load(it, load, now);
 }
 
+bool server_pool::on_stated_limit(server& it, std::optional<double> per_second,
+                                  instant sent_at, instant now)
+{
+    if (!per_second)
+    {
+        if (!it.limit || sent_at <= it.limit->last_at)
+            return false;
+        it.limit.reset();
+        return true;
+    }
+    const bool changed = !it.limit || it.limit->per_second != *per_second;
+    if (!it.limit)
+        it.limit.emplace().since = now;
+    it.limit->per_second = *per_second;
+    it.limit->last_at = now;
+    return changed;
+}
+
 void server_pool::on_failure(server& it, instant sent_at, instant now)
 {
     end_exchange(it, sent_at);
--- a/unittests/gateway/server_pool_test.cpp
+++ b/unittests/gateway/server_pool_test.cpp
@@ -159,3 +159,23 @@
     now += milliseconds(3'001);
     CHECK(cost(*pool.of("s")[1]) == cost(warm));
 }
+
+// A limit holds until an answer lacks it whose request was sent after the limit
+// was last stated; an answer that was overtaken says nothing.
+TEST(server_pool, a_stated_limit_ends_with_a_later_answer_without_one)
+{
+    auto& it = add("it");
+    const auto state = [&](std::optional<double> limit, base::instant sent_at)
+    { return gateway::server_pool::on_stated_limit(it, limit, sent_at, now); };
+    CHECK_FALSE(state(std::nullopt, now));
+    CHECK(state(25.3, now));
+    LONGS_EQUAL(1, pool.limited());
+    CHECK_FALSE(state(25.3, now));
+    CHECK(state(12.0, now));
+    const auto overtaken = now - milliseconds(20);
+    now += milliseconds(5);
+    CHECK_FALSE(state(std::nullopt, overtaken));
+    CHECK(it.limit.has_value());
+    CHECK(state(std::nullopt, now));
+    LONGS_EQUAL(0, pool.limited());
+}
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -81,6 +81,20 @@
     CHECK_FALSE(deadline_of("").has_value());
 }
 
+TEST(messages, a_servers_stated_limit_is_decoded_and_a_malformed_one_ignored)
+{
+    const auto limit_of = [](const char* text)
+    {
+        return platform::decode_reply({200, {{"Server-Limit", text}}, ""})
+            .rate_limit;
+    };
+    DOUBLES_EQUAL(25.3, limit_of("25.3").value(), 1e-9);
+    DOUBLES_EQUAL(0, limit_of("0").value(), 1e-9);
+    for (const auto* text : {"", "-1", "nan", "inf", "1e999", "25.3 ", "many"})
+        CHECK_FALSE(limit_of(text).has_value());
+    CHECK_FALSE(platform::decode_reply({200, {}, ""}).rate_limit.has_value());
+}
+
 TEST(messages, a_servers_reply_is_decoded)
 {
     auto success =
