Each VM keeps to its share of the limit that a server states

Cause: the limit is for all VMs together, and no VM took any account of it. Fix: the limit is divided among the listed VMs, those of the server's data centre first; the shares of one list add up to the limit. A token bucket for each limited server lets first sends, hedges, retries, relayed parts and queued parts through, as all of them choose their server in one place. Permits of urgent searches and of first sends are kept back from the others. What the limits don't allow is refused at once, before any part is sent, also by a relay. Why it works: no VM needs to know what the others send. A bucket stores one second of its rate, so all VMs stay below 5 times the limit in 4 s, 6 are allowed; a share below one a second stores one permit, which lapses, and VMs get theirs at different times.

--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -57,8 +57,10 @@
     const server_pool& servers() const { return servers_; }
 
     /// Sets the VMs that can be used as relays, and the number of VMs that send
-    /// to the same servers, including this one.
-    void set_fleet(const std::vector<vm_entry>& others, std::size_t size);
+    /// to the same servers. `size` includes this VM and those in `departed`,
+    /// which left the list but may still be sending.
+    void set_fleet(const std::vector<vm_entry>& others, std::size_t size,
+                   const std::vector<vm_entry>& departed = {});
 
     /// Sets the budget of hedges and retries; see gateway_options::extra.
     void set_extra_budget(const arrival_budget_options& it)
@@ -144,6 +146,9 @@
     bool can_be_served(const search& it) const;
     bool has_capacity(const search& it, base::instant now,
                       base::instant due) const;
+    bool can_be_sent(const query& q, const part& p, bool may_relay,
+                     base::instant now);
+    bool has_permits(const query& q, bool may_relay, base::instant now);
     void start_query(query&& q, base::instant now, effects& out);
     void send_parts(query& q, base::instant now, effects& out);
 
@@ -168,6 +173,8 @@
     // Choice of servers and sends.
     void send_part(query& q, std::size_t part, base::instant now, effects& out);
     server* choose_server(const query& q, const part& p, base::instant now);
+    static double permit_reserve(const query& q, const part& p);
+    bool is_any_permitted(const query& q, const part& p, base::instant now);
     std::vector<server*> allowed_servers(const query& q, const part& p) const;
     std::size_t max_exchanges_per_server(const std::string& service) const;
     void send_to(query& q, std::size_t part, server& to, base::instant now,
@@ -184,9 +191,8 @@
     // Results.
     exchange remove_exchange(exchange_number number);
     /// Takes over the limit that an answer of `from` stated, or its lack.
-    static void note_limit(server& from, std::optional<double> per_second,
-                           base::instant sent_at, base::instant now,
-                           effects& out);
+    void note_limit(server& from, std::optional<double> per_second,
+                    base::instant sent_at, base::instant now, effects& out);
     /// Records the outcome of an exchange that ended. Returns its query, or
     /// null if that was closed.
     query* record_outcome(exchange_number number, const exchange& it,
--- a/include/mimosacroft/gateway/server_pool.hpp
+++ b/include/mimosacroft/gateway/server_pool.hpp
@@ -5,15 +5,18 @@
 
 #include "mimosacroft/base/names.hpp"
 #include "mimosacroft/base/time.hpp"
+#include "mimosacroft/gateway/permit_bucket.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace mimosacroft::gateway
@@ -49,6 +52,7 @@
     base::instant since{};   ///< arrival of the first answer with a limit
     base::instant last_at{}; ///< arrival of the last answer with a limit
     std::uint64_t sends = 0; ///< of this VM since then
+    permit_bucket permits;   ///< for the sends of this VM
 };
 
 /// Identifies one incarnation of a server; never reused.
@@ -89,18 +93,24 @@
     base::duration silence(base::instant now) const;
 };
 
-/// Determines the share of a server's connections that this VM may open.
-struct connection_share
+/// The VMs that share the limits which servers state, including this one.
+struct fleet_counts
 {
-    std::size_t vms = 1; ///< VMs that may connect at the same time
+    std::map<std::string, std::size_t> by_data_centre;
+    /// VMs that are assumed to exist, in unknown data centres.
+    std::size_t unknown = 0;
 };
 
 class server_pool
 {
 public:
-    /// `regions` maps each data centre to its region.
+    /// `regions` maps each data centre to its region. `seed` is for the random
+    /// number generator.
     server_pool(std::string data_centre,
-                std::map<std::string, std::string> regions);
+                std::map<std::string, std::string> regions,
+                std::uint32_t seed = 1);
+
+    void set_fleet(fleet_counts fleet) { fleet_ = std::move(fleet); }
 
     /// Applies the entry of a new server, a new state of a known server, or a
     /// new incarnation. Returns whether a server was added or listed again, or
@@ -135,6 +145,14 @@
     /// Number of servers that state a limit.
     std::size_t limited() const;
 
+    /// Whether the limit that the server states, if any, lets this VM send a
+    /// request now. `reserve`, from 0 to 1, is the share of its stored permits
+    /// that is kept for more important sends.
+    bool may_send(server& it, double reserve, base::instant now) const;
+    /// The share of a server's limit that this VM may use. The shares of all
+    /// VMs with the same view of the fleet add up to 1.
+    double limit_share(const server& it) const;
+
     void on_sent(server& it, base::instant now);
     /// `expected` is the usual latency of such a request, without the network
     /// round trip.
@@ -147,8 +165,8 @@
     /// lifts a limit only if the request was sent after that was last stated,
     /// since answers may overtake each other. Returns whether the limit
     /// changed.
-    static bool on_stated_limit(server& it, std::optional<double> per_second,
-                                base::instant sent_at, base::instant now);
+    bool on_stated_limit(server& it, std::optional<double> per_second,
+                         base::instant sent_at, base::instant now);
     void on_failure(server& it, base::instant sent_at, base::instant now);
     /// This VM canceled the exchange, which says nothing about the server.
     void on_canceled(server& it, base::instant sent_at);
@@ -157,12 +175,16 @@
     static base::duration round_trip(distance network_distance);
 
 private:
-    distance distance_to(const std::string& data_centre) const;
+    distance distance_between(const std::string& one,
+                              const std::string& other) const;
+    void refill_permits(server& it, base::instant now) const;
     void add_to_service(server& it);
     void remove_from_service(server& it);
 
     std::string data_centre_;
     std::map<std::string, std::string> regions_;
+    fleet_counts fleet_;
+    std::minstd_rand random_;
     server_number last_number_ = 0;
     std::unordered_map<server_number, std::unique_ptr<server>> by_number_;
     std::unordered_map<std::string, server_number> by_id_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -50,7 +50,8 @@
 
 gateway::gateway(gateway_options options)
     : options_(std::move(options)),
-      servers_(options_.data_centre, options_.regions), random_(options_.seed)
+      servers_(options_.data_centre, options_.regions, options_.seed),
+      random_(options_.seed)
 {
 }
 
@@ -68,10 +69,19 @@
     forget_servers_at_ = std::min(forget_servers_at_, now + hold);
 }
 
-void gateway::set_fleet(const std::vector<vm_entry>& others, std::size_t size)
+void gateway::set_fleet(const std::vector<vm_entry>& others, std::size_t size,
+                        const std::vector<vm_entry>& departed)
 {
     relays_.set_vms(others);
     fleet_size_ = std::max<std::size_t>(size, 1);
+    fleet_counts counts;
+    counts.by_data_centre[options_.data_centre] = 1;
+    for (const auto* vms : {&others, &departed})
+        for (const auto& it : *vms)
+            ++counts.by_data_centre[it.data_centre];
+    const auto known = 1 + others.size() + departed.size();
+    counts.unknown = fleet_size_ - std::min(fleet_size_, known);
+    servers_.set_fleet(std::move(counts));
 }
 
 double gateway::random_fraction()
@@ -143,6 +153,37 @@
                   it.min_coverage);
 }
 
+bool gateway::can_be_sent(const query& q, const part& p, bool may_relay,
+                          instant now)
+{
+    if (p.state == part_state::done || p.state == part_state::open)
+        return true;
+    if (p.state == part_state::failed)
+        return false;
+    const auto all = servers_.of(p.service);
+    const auto is_far = [](const server* s)
+    { return s->network_distance == distance::other_region; };
+    // A relay near the servers uses its own permits.
+    const bool is_relayable =
+        may_relay && !all.empty() && std::ranges::all_of(all, is_far);
+    return is_relayable || is_any_permitted(q, p, now);
+}
+
+// Whether the limits that servers state let enough parts be sent for an answer.
+// Parts sent without that would use up permits and answer no caller. Of the
+// shards that a relayed query leaves out, all are assumed to answer.
+bool gateway::has_permits(const query& q, bool may_relay, instant now)
+{
+    if (!q.search->is_scattered())
+        return can_be_sent(q, q.parts.front(), false, now);
+    const auto sendable =
+        std::ranges::count_if(q.parts, [&](const part& p)
+                              { return can_be_sent(q, p, may_relay, now); });
+    const auto total = q.search->shards.size();
+    return covers(total - q.parts.size() + static_cast<std::size_t>(sendable),
+                  total, q.search->min_coverage);
+}
+
 // The time of a partial answer. The objective counts from the caller's first
 // attempt, so the time that earlier attempts used is subtracted.
 instant gateway::compute_answer_by(const query& q)
@@ -227,6 +268,11 @@
         refuse_request(number, refusal::overloaded, *q.request, found, out);
         return;
     }
+    if (!has_permits(q, options_.use.relaying, now))
+    {
+        refuse_request(number, refusal::overloaded, *q.request, found, out);
+        return;
+    }
     start_query(std::move(q), now, out);
 }
 
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -36,6 +36,11 @@
 // Random addition to each estimate, which spreads sends over equal servers.
 constexpr milliseconds tie_break_jitter{1};
 
+// Shares of the stored permits for a server with a limit that are kept for
+// first sends, and for those of urgent searches.
+constexpr double repeat_permit_reserve = 0.5;
+constexpr double ordinary_permit_reserve = 0.25;
+
 // All VMs share a server's connections; the rest stays free for VMs that join.
 constexpr double usable_connection_share = 0.9;
 // Exchanges with each server if the service sets no limit of connections.
@@ -170,6 +175,22 @@
     return out;
 }
 
+double gateway::permit_reserve(const query& q, const part& p)
+{
+    if (p.attempts_used > 0)
+        return repeat_permit_reserve;
+    return q.search->priority > 0 ? ordinary_permit_reserve : 0;
+}
+
+// Whether the part has a server whose limit, if it states one, lets this VM
+// send the part now.
+bool gateway::is_any_permitted(const query& q, const part& p, instant now)
+{
+    return std::ranges::any_of(
+        allowed_servers(q, p), [&](server* it)
+        { return servers_.may_send(*it, permit_reserve(q, p), now); });
+}
+
 server* gateway::choose_server(const query& q, const part& p, instant now)
 {
     const auto expected = expected_latency(*q.search);
@@ -178,7 +199,8 @@
     duration best_cost{};
     for (auto* it : allowed_servers(q, p))
     {
-        if (it->in_flight.size() >= max_exchanges)
+        if (it->in_flight.size() >= max_exchanges ||
+            !servers_.may_send(*it, permit_reserve(q, p), now))
             continue;
         const bool busy =
             std::ranges::any_of(p.in_flight, [this, it](exchange_number n)
@@ -210,8 +232,10 @@
     }
     if (auto* to = choose_server(q, p, now))
         send_to(q, part, *to, now, out);
-    else
+    else if (is_any_permitted(q, p, now))
         enqueue_part(q, part);
+    else
+        fail_part(q, part);
 }
 
 void gateway::enqueue_part(const query& q, std::size_t part)
@@ -278,7 +302,8 @@
 }
 
 // Sends a part again: as a hedge if a send is in flight, else as a retry. Sets
-// a timer for the next try if there is no suitable server or no budget.
+// a timer for the next try if there is no suitable server or no budget. Fails a
+// part that is late already and that the servers' limits still don't allow.
 void gateway::send_again(query& q, std::size_t part, instant now, effects& out)
 {
     auto& p = q.parts[part];
@@ -298,28 +323,40 @@
         send_to(q, part, *to, now, out);
         return;
     }
-    p.hedge_at = now + hedge_retry_interval;
+    const auto wait_until = q.search->is_scattered()
+                                ? q.answer_by
+                                : q.started + q.search->latency_objective;
+    if (p.in_flight.empty() && now >= wait_until &&
+        !is_any_permitted(q, p, now))
+        fail_part(q, part);
+    else
+        p.hedge_at = now + hedge_retry_interval;
 }
 
 void gateway::send_waiting(const std::string& service, instant now,
                            effects& out)
 {
-    const auto queue = waiting_.find(service);
-    if (queue == waiting_.end())
-        return;
-    while (!queue->second.empty())
+    // A query that is answered here removes its other parts from the queue, so
+    // the queue is looked up again for each part.
+    for (auto queue = waiting_.find(service); queue != waiting_.end();
+         queue = waiting_.find(service))
     {
         const auto first = queue->second.begin();
         const auto next = first->second;
         auto& q = queries_.at(next.query);
-        auto* to = choose_server(q, q.parts[next.part], now);
-        if (!to)
+        auto& p = q.parts[next.part];
+        auto* to = choose_server(q, p, now);
+        if (!to && is_any_permitted(q, p, now))
             return;
         queue->second.erase(first);
-        send_to(q, next.part, *to, now, out);
-        schedule_timer(q);
+        if (queue->second.empty())
+            waiting_.erase(queue);
+        if (to)
+            send_to(q, next.part, *to, now, out);
+        else
+            fail_part(q, next.part);
+        answer_if_ready(q, now, out);
     }
-    waiting_.erase(queue);
 }
 
 gateway::exchange gateway::remove_exchange(exchange_number number)
@@ -361,7 +398,7 @@
                          instant sent_at, instant now, effects& out)
 {
     const auto before = from.limit;
-    if (!server_pool::on_stated_limit(from, per_second, sent_at, now))
+    if (!servers_.on_stated_limit(from, per_second, sent_at, now))
         return;
     out.events.push_back(from.limit ? limited_event(from)
                                     : unlimited_event(from, *before, now));
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -153,6 +153,11 @@
     q.parts = std::move(wanted);
     q.answer_by = std::min(q.give_up_at, now + request.answer_within);
     q.is_relayed = true;
+    if (!has_permits(q, false, now))
+    {
+        out.answers.push_back({number, declined{}, found, {}});
+        return;
+    }
     start_query(std::move(q), now, out);
 }
 
@@ -162,11 +167,17 @@
                                   effects& out)
 {
     q.relay_fallback_at = base::never;
+    const bool is_useful = may_have_run || has_permits(q, false, now);
     for (std::size_t n = 0; n < q.parts.size(); ++n)
     {
         auto& p = q.parts[n];
         if (p.state != part_state::relayed)
             continue;
+        if (!is_useful)
+        {
+            fail_part(q, n);
+            continue;
+        }
         if (!may_have_run)
         {
             budgets_[p.service].on_request(now);
--- a/lib/gateway/server_pool.cpp
+++ b/lib/gateway/server_pool.cpp
@@ -44,6 +44,26 @@
 constexpr milliseconds unlisted_penalty{600};
 constexpr double warmup_latency_ratio = 1.6;
 
+// A server's limit is shared by all VMs, in the ratio of these weights. Most
+// requests for a server come from the VMs of its own data centre.
+constexpr double same_data_centre_weight = 8;
+constexpr double same_region_weight = 2;
+constexpr double other_region_weight = 1;
+
+double limit_weight(distance network_distance)
+{
+    switch (network_distance)
+    {
+    case distance::same_data_centre:
+        return same_data_centre_weight;
+    case distance::same_region:
+        return same_region_weight;
+    case distance::other_region:
+        break;
+    }
+    return other_region_weight;
+}
+
 double decayed_latency_ratio(const server& it, instant now)
 {
     const auto age = base::to_seconds(now - it.latency_ratio_at);
@@ -118,9 +138,12 @@
 }
 
 server_pool::server_pool(std::string data_centre,
-                         std::map<std::string, std::string> regions)
-    : data_centre_(std::move(data_centre)), regions_(std::move(regions))
+                         std::map<std::string, std::string> regions,
+                         std::uint32_t seed)
+    : data_centre_(std::move(data_centre)), regions_(std::move(regions)),
+      random_(seed)
 {
+    fleet_.by_data_centre[data_centre_] = 1;
 }
 
 duration server_pool::round_trip(distance network_distance)
@@ -137,14 +160,15 @@
     return milliseconds(20);
 }
 
-distance server_pool::distance_to(const std::string& data_centre) const
+distance server_pool::distance_between(const std::string& one,
+                                       const std::string& other) const
 {
-    if (data_centre == data_centre_)
+    if (one == other)
         return distance::same_data_centre;
-    const auto mine = regions_.find(data_centre_);
-    const auto other = regions_.find(data_centre);
-    if (mine != regions_.end() && other != regions_.end() &&
-        mine->second == other->second)
+    const auto region = regions_.find(one);
+    const auto other_region = regions_.find(other);
+    if (region != regions_.end() && other_region != regions_.end() &&
+        region->second == other_region->second)
         return distance::same_region;
     return distance::other_region;
 }
@@ -188,7 +212,7 @@
     auto fresh = std::make_unique<server>();
     fresh->number = ++last_number_;
     fresh->entry = entry;
-    fresh->network_distance = distance_to(entry.data_centre);
+    fresh->network_distance = distance_between(data_centre_, entry.data_centre);
     fresh->warmup_until = now + entry.warmup_left;
     add_to_service(*fresh);
     by_id_[entry.id] = fresh->number;
@@ -271,11 +295,39 @@
                               { return one.second->limit.has_value(); }));
 }
 
+double server_pool::limit_share(const server& it) const
+{
+    // VMs that are assumed to exist count as close to the server, so that the
+    // share is too small rather than too large.
+    auto total = static_cast<double>(fleet_.unknown) * same_data_centre_weight;
+    for (const auto& [data_centre, vms] : fleet_.by_data_centre)
+        total +=
+            static_cast<double>(vms) *
+            limit_weight(distance_between(data_centre, it.entry.data_centre));
+    return limit_weight(it.network_distance) / total;
+}
+
+void server_pool::refill_permits(server& it, instant now) const
+{
+    it.limit->permits.advance(it.limit->per_second * limit_share(it), now);
+}
+
+bool server_pool::may_send(server& it, double reserve, instant now) const
+{
+    if (!it.limit)
+        return true;
+    refill_permits(it, now);
+    return it.limit->permits.has_permit(reserve);
+}
+
 void server_pool::on_sent(server& it, instant now)
 {
     it.in_flight.push_back(now);
-    if (it.limit)
-        ++it.limit->sends;
+    if (!it.limit)
+        return;
+    ++it.limit->sends;
+    refill_permits(it, now);
+    it.limit->permits.take();
 }
 
 void server_pool::on_reply(server& it, instant sent_at, instant now,
@@ -316,8 +368,14 @@
         return true;
     }
     const bool changed = !it.limit || it.limit->per_second != *per_second;
-    if (!it.limit)
-        it.limit.emplace().since = now;
+    // Permits of the time before are granted at the old limit.
+    if (it.limit)
+        refill_permits(it, now);
+    else
+        it.limit = stated_limit{
+            *per_second, now, now, 0,
+            permit_bucket(std::uniform_real_distribution<>(0, 1)(random_),
+                          now)};
     it.limit->per_second = *per_second;
     it.limit->last_at = now;
     return changed;
--- a/unittests/gateway/server_pool_test.cpp
+++ b/unittests/gateway/server_pool_test.cpp
@@ -166,7 +166,7 @@
 {
     auto& it = add("it");
     const auto state = [&](std::optional<double> limit, base::instant sent_at)
-    { return gateway::server_pool::on_stated_limit(it, limit, sent_at, now); };
+    { return pool.on_stated_limit(it, limit, sent_at, now); };
     CHECK_FALSE(state(std::nullopt, now));
     CHECK(state(25.3, now));
     LONGS_EQUAL(1, pool.limited());
