A VM that left the list keeps its share of common limits until it has stopped

Callers saw nothing yet. Found while looking for the cause of LIMIT elsewhere: a VM takes its entry away at its stop signal and then serves up to the stop grace; the others divided the limits among themselves at once (a server's limit, the slack of hedges and retries, connections), so the sum was over by the share of the VM that stops. With three VMs in a data centre that is a third of a server's limit. Fix: the directory counts a removed VM until the stop grace has passed or its entry is back. It is no relay and no source of objects meanwhile, as before.

--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -49,7 +49,7 @@
                  initial_settings.data_centre, 0},
       seeds_(initial_settings.seeds),
       store_address_(initial_settings.store_address),
-      directory_(initial_settings.vm),
+      directory_(initial_settings.vm, initial_settings.stop_grace),
       configuration_(io, std::string(platform::configuration_kind),
                      initial_settings.store_address,
                      {.min_call_interval = min_configuration_call_interval}, {},
@@ -137,6 +137,8 @@
         is_store_lost_ = false;
         log_.write({event_id::platform_back, {{"peer", store_address_}}});
     }
+    if (directory_.forget_departed(now))
+        update_fleet();
     if (now < cleanup_at_)
         return;
     cleanup_at_ = now + cleanup_period;
@@ -153,7 +155,7 @@
 void store_feed::update_fleet()
 {
     const auto others = directory_.others();
-    gateway_.set_fleet(others, directory_.fleet_size());
+    gateway_.set_fleet(others, directory_.fleet_size(), directory_.departed());
     for (auto* watch : {&configuration_, &servers_, &vms_})
         watch->sources().set(own_entry_, others, seeds_);
 }
@@ -236,7 +238,7 @@
     {
         if (change.deleted)
         {
-            directory_.remove(change.name);
+            directory_.remove(change.name, base::now());
             continue;
         }
         const auto entry = platform::decode_vm_entry(change);
@@ -255,7 +257,7 @@
 {
     for (const auto& name : directory_.names())
         if (!names.contains(name))
-            directory_.remove(name);
+            directory_.remove(name, base::now());
     update_fleet();
 }
 
--- a/unittests/gateway/server_pool_test.cpp
+++ b/unittests/gateway/server_pool_test.cpp
@@ -179,3 +179,23 @@
     CHECK(state(std::nullopt, now));
     LONGS_EQUAL(0, pool.limited());
 }
+
+// The shares of all VMs add up to the limit, whichever data centre each is in.
+TEST(server_pool, shares_of_a_limit_add_up_to_it)
+{
+    const std::map<std::string, std::string> regions{
+        {"a", "r"}, {"b", "r"}, {"c", "other"}};
+    const gateway::fleet_counts fleet{{{"a", 3}, {"b", 2}, {"c", 4}}, 0};
+    double total = 0;
+    for (const auto& [data_centre, vms] : fleet.by_data_centre)
+    {
+        gateway::server_pool one(data_centre, regions);
+        one.set_fleet(fleet);
+        one.apply(entry("it", "b"), now);
+        total += static_cast<double>(vms) * one.limit_share(*one.of("s")[0]);
+    }
+    DOUBLES_EQUAL(1, total, 1e-9);
+    // VMs that are assumed to exist leave less to this one.
+    pool.set_fleet({{{"a", 1}}, 15});
+    DOUBLES_EQUAL(1.0 / 16, pool.limit_share(add("it")), 1e-9);
+}
