Positions in the store have an era, so a store restored from a copy is followed

Cause: revisions were compared as if they could only rise. The store gives them out again after a copy; a cache kept its highest one, and recorded the changes after the copy at it, where its readers looked for none. A VM that reads from the store missed changes the same way if its next call came after the revisions had passed its own. The class: a position compared without the history that it belongs to. Fix: a position is an era (Store-Era) and a revision, and can't be compared without the era, in lists, watches, the cache and between VMs. An answer of a later era makes the reader list again. What a copy holds in an older state doesn't replace the newer: servers by their start and count, configurations by their version, removed objects by what they were when removed. Each VM writes its own entry again; a VM without an entry in the list does so as well. Event 504 and mimosa_store_era tell of it. Tests: changes_after_a_copy_reach_a_vm_that_reads_from_another, changes_after_a_copy_are_not_missed_when_revisions_pass and a_vm_missing_in_a_copy_registers_again failed on the code before (with the stand-in that can come back from a copy).

--- a/include/mimosacroft/entry/registration.hpp
+++ b/include/mimosacroft/entry/registration.hpp
@@ -26,6 +26,10 @@
     void tick(base::instant now);
     base::instant next_due() const { return next_due_; }
 
+    /// Called when the entry may be missing from the store: renews it soon,
+    /// which creates it if need be. Does nothing before the entry is written.
+    void renew_soon();
+
     /// Removes this VM's entry and stops renewing it. Sends one call and does
     /// not wait for its answer; does nothing if called again.
     void withdraw();
@@ -47,6 +51,9 @@
     void on_failure(http::exchange_number number);
     /// Sets the next call to be due after a short random delay.
     void schedule_retry();
+    /// `min_delay` plus a random part of `jitter`.
+    base::duration random_delay(base::milliseconds min_delay,
+                                base::milliseconds jitter);
 
     std::string store_address_;
     /// Parsed from store_address_; empty if that is invalid, and then no call
@@ -59,6 +66,7 @@
     http::exchange_number last_exchange_ = 0;
     /// The call in progress for this VM's entry; 0 if there is none.
     http::exchange_number pending_call_ = 0;
+    bool renew_again_ = false; ///< renew_soon() was called during a call
     base::instant next_due_{}; ///< next call, or timeout of the pending one
 };
 
--- a/include/mimosacroft/entry/store_feed.hpp
+++ b/include/mimosacroft/entry/store_feed.hpp
@@ -9,6 +9,7 @@
 #include "mimosacroft/entry/store_watch.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <set>
 #include <string>
@@ -75,6 +76,7 @@
     void on_vms(const change_list& changes);
     void on_vm_list(const std::set<std::string>& names);
     void log_fleet_size();
+    void on_new_era(std::uint64_t era);
     void on_failure(const std::string& kind, const std::string& text);
 
     gateway::gateway& gateway_;
@@ -93,7 +95,8 @@
     base::instant follow_other_kinds_at_{};
     base::instant last_failure_at_{};
     base::instant cleanup_at_{};
-    bool is_store_lost_ = false; ///< as last logged
+    bool is_store_lost_ = false;  ///< as last logged
+    std::uint64_t store_era_ = 0; ///< last one that on_new_era() handled
     std::size_t logged_fleet_size_ = 0;
 };
 
--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -9,6 +9,7 @@
 #include "mimosacroft/gateway/object_sources.hpp"
 #include "mimosacroft/http/client.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <random>
@@ -28,6 +29,9 @@
             on_changes;
         /// A list is complete: objects that are not in it have been removed.
         std::function<void(const std::set<std::string>& names)> on_list;
+        /// The store came back from a copy: what was written to it since the
+        /// copy was made may be missing.
+        std::function<void(std::uint64_t era)> on_new_era = [](auto) {};
         /// A call to the store failed, not one to another VM; `text` tells why.
         std::function<void(const std::string& text)> on_failure;
         /// A call ended: the cache may have changes to serve to other VMs, and
@@ -68,7 +72,9 @@
     void send_call(const gateway::follow_call& call, base::instant now);
     void on_reply(http::response&& reply);
     base::result<spread_answer> decode(const http::response& reply) const;
+    bool is_outdated(const spread_answer& answer) const;
     void apply_batch(const spread_answer& answer, base::instant now);
+    void apply_list(const gateway::object_batch& list);
     void on_call_failed(const std::string& text);
     /// From 0 to 1.
     double random_jitter();
--- a/include/mimosacroft/gateway/object_cache.hpp
+++ b/include/mimosacroft/gateway/object_cache.hpp
@@ -1,6 +1,7 @@
 // Caches the objects of one kind together with their recent changes, so that
 // this VM can serve lists and watches to other VMs and these need not read from
-// the store.
+// the store. When the store comes back from a copy, the cache tells objects
+// that the copy holds in an outdated state from those that are current.
 #ifndef MIMOSACROFT_GATEWAY_OBJECT_CACHE_HPP
 #define MIMOSACROFT_GATEWAY_OBJECT_CACHE_HPP
 
@@ -9,35 +10,54 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosacroft::gateway
 {
 
+/// Orders the contents that the writer of an object gave it, independently of
+/// the store: a later content is greater.
+using object_order = std::pair<std::int64_t, std::uint64_t>;
+
 class object_cache
 {
 public:
-    /// Applies changes read from a source; `revision` is the store's revision
-    /// after them.
-    void apply(const std::vector<object_change>& changes,
-               std::uint64_t revision);
-    /// Called when a list is complete: deletes the objects that are not in it.
-    void keep_only(const std::set<std::string>& names, std::uint64_t revision);
+    /// Returns nothing if the content has no order of its own.
+    using order_function =
+        std::function<std::optional<object_order>(const std::string& content)>;
+
+    explicit object_cache(order_function order_of = [](const auto&)
+                          { return std::nullopt; })
+        : order_of_(std::move(order_of))
+    {
+    }
+
+    /// Applies the changes that a watch returned; `position` is the store's
+    /// after them. Returns the changes without those that are outdated.
+    std::vector<object_change> apply(const std::vector<object_change>& changes,
+                                     store_position position);
+    /// Replaces all objects by a whole list. Returns the list as it is now:
+    /// outdated objects have their last known content, or are left out if they
+    /// had been removed.
+    std::vector<object_change> replace(const std::vector<object_change>& list,
+                                       store_position position);
 
-    std::uint64_t revision() const { return revision_; }
+    store_position position() const { return position_; }
 
     /// Returns all objects.
     object_batch list() const;
-    /// Returns the changes after a revision, or nothing if the history no
-    /// longer reaches back to it.
-    std::optional<object_batch> changes_since(std::uint64_t revision) const;
+    /// Returns the changes after a position, or nothing if the history does not
+    /// reach back to it.
+    std::optional<object_batch> changes_since(store_position position) const;
 
 private:
     static constexpr std::size_t max_history_size = 4'000;
+    static constexpr std::size_t max_removed = 4'000;
 
     struct versioned_change
     {
@@ -45,12 +65,29 @@
         object_change change;
     };
 
-    void apply_one(object_change change, std::uint64_t revision);
+    /// A content and the era in which it was read or removed.
+    struct known_content
+    {
+        std::string content;
+        std::uint64_t era = 0;
+    };
+
+    bool is_older(const std::string& content, const std::string& than) const;
+    /// Whether the change repeats what a later write or a removal, in an
+    /// earlier era of the store, has replaced.
+    bool is_outdated(const object_change& change, std::uint64_t era) const;
+    void store(const object_change& change, std::uint64_t era);
+    void remember_removed(const std::string& name, std::uint64_t era);
+    void append_history(object_change change);
 
-    std::map<std::string, std::string> objects_; ///< contents by name
-    std::deque<versioned_change> history_;       ///< oldest first
+    order_function order_of_;
+    std::map<std::string, known_content> objects_; ///< by name
+    /// By name; of objects that the store has removed.
+    std::map<std::string, known_content> removed_;
+    std::deque<std::string> removed_names_; ///< of removed_, oldest first
+    std::deque<versioned_change> history_;  ///< of this era, oldest first
     std::uint64_t compacted_revision_ = 0; ///< history up to this is incomplete
-    std::uint64_t revision_ = 0;
+    store_position position_;
 };
 
 } // namespace mimosacroft::gateway
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -7,9 +7,9 @@
 
 #include "mimosacroft/base/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -24,12 +24,23 @@
     bool deleted = false;
 };
 
+/// A state of the store. The store may come back from a copy and give out again
+/// the revisions since: these then stand for other changes, and the era is
+/// higher. Any position of a later era comes after those of earlier ones.
+struct store_position
+{
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const store_position&) const = default;
+};
+
 /// One page of a list, or the changes that a watch returned.
 struct object_batch
 {
     std::vector<object_change> changes;
-    std::uint64_t revision = 0; ///< of the store; the next watch starts here
-    bool has_more = false;      ///< list only: another page follows
+    store_position position; ///< of the store; the next watch starts here
+    bool has_more = false;   ///< list only: another page follows
 };
 
 enum class follow_step
@@ -41,8 +52,8 @@
 struct follow_call
 {
     follow_step step = follow_step::list;
-    std::string after;          ///< list: last name of the previous page
-    std::uint64_t revision = 0; ///< watch: returns changes after this
+    std::string after;       ///< list: last name of the previous page
+    store_position position; ///< watch: returns changes after this
     /// watch: how long the source waits for changes. Depends on the source, so
     /// next() leaves it zero.
     base::milliseconds watch_timeout{0};
@@ -69,11 +80,13 @@
     base::instant next_due() const;
 
     /// Handles a page of a list or the changes of a watch. On the last page of
-    /// a list, returns all names in the list; other objects have been deleted.
-    std::optional<std::set<std::string>> on_batch(const object_batch& batch,
-                                                  base::instant now);
+    /// a list, returns the whole list; other objects have been deleted. The
+    /// changes of a watch must be of the era of position().
+    std::optional<object_batch> on_batch(const object_batch& batch,
+                                         base::instant now);
 
-    /// Called when the source no longer has the history that the watch needs.
+    /// Called when the source no longer has the history that the watch needs,
+    /// or when it is in a later era.
     void on_history_gone(base::instant now);
     /// Called when the call failed or was refused. `jitter`, from 0 to 1,
     /// spreads the retries of the VMs.
@@ -85,7 +98,7 @@
     bool is_complete() const { return has_full_list_; }
     /// Number of consecutive failed calls.
     unsigned failures() const { return failures_; }
-    std::uint64_t revision() const { return revision_; }
+    store_position position() const { return position_; }
 
 private:
     void start_list();
@@ -93,9 +106,9 @@
     follower_options options_;
     follow_step step_ = follow_step::list;
     std::string last_listed_name_;
-    std::set<std::string> listed_names_;
-    std::uint64_t first_page_revision_ = 0; ///< of the store, at the first page
-    std::uint64_t revision_ = 0;
+    /// The pages of a list so far, with the position of the first one.
+    std::optional<object_batch> listed_;
+    store_position position_;
     bool has_full_list_ = false;
     bool call_in_flight_ = false;
     unsigned failures_ = 0;
--- a/lib/entry/entry_metrics.cpp
+++ b/lib/entry/entry_metrics.cpp
@@ -87,6 +87,8 @@
 {
     registry_.set(with_label("mimosa_store_calls_total", "kind", source.kind()),
                   to_metric_value(source.store_calls()));
+    registry_.set(with_label("mimosa_store_era", "kind", source.kind()),
+                  to_metric_value(source.cache().position().era));
     if (source.is_complete())
         registry_.set(
             with_label("mimosa_store_age_seconds", "kind", source.kind()),
--- a/lib/entry/registration.cpp
+++ b/lib/entry/registration.cpp
@@ -5,6 +5,9 @@
 
 #include "platform/store.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace mimosacroft::entry
 {
 
@@ -17,6 +20,10 @@
 // A retry follows after min_retry_delay plus a random part of max_retry_jitter.
 constexpr milliseconds min_retry_delay{300};
 constexpr milliseconds max_retry_jitter{700};
+// All VMs renew their entries when the store comes back from a copy. This
+// spreads their calls, of which the store takes a limited number per second.
+constexpr milliseconds min_renewal_delay{100};
+constexpr milliseconds max_renewal_jitter{2'000};
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned first_non_success_status = 300;
@@ -62,12 +69,31 @@
     pending_call_ = last_exchange_;
 }
 
-void registration::schedule_retry()
+base::duration registration::random_delay(milliseconds min_delay,
+                                          milliseconds jitter)
 {
     std::uniform_real_distribution<double> fraction(0, 1);
-    next_due_ = base::now() + min_retry_delay +
-                std::chrono::duration_cast<milliseconds>(max_retry_jitter *
-                                                         fraction(random_));
+    return min_delay +
+           std::chrono::duration_cast<milliseconds>(jitter * fraction(random_));
+}
+
+void registration::schedule_retry()
+{
+    next_due_ = base::now() + random_delay(min_retry_delay, max_retry_jitter);
+}
+
+void registration::renew_soon()
+{
+    if (state_ != state::registered)
+        return;
+    if (pending_call_ != 0)
+    {
+        renew_again_ = true;
+        return;
+    }
+    next_due_ =
+        std::min(next_due_, base::now() + random_delay(min_renewal_delay,
+                                                       max_renewal_jitter));
 }
 
 void registration::on_failure(http::exchange_number number)
@@ -106,6 +132,8 @@
     }
     state_ = state::registered;
     next_due_ = base::now() + gateway::renewal_period;
+    if (std::exchange(renew_again_, false))
+        renew_soon();
 }
 
 void registration::withdraw()
--- a/lib/entry/spread_codec.cpp
+++ b/lib/entry/spread_codec.cpp
@@ -26,8 +26,9 @@
     bool is_watch = false;
     std::uint64_t revision = 0;
     std::int64_t wait_ms = 0;
+    std::uint64_t era = 0;
 
-    MSGPACK_DEFINE(kind, is_watch, revision, wait_ms)
+    MSGPACK_DEFINE(kind, is_watch, revision, wait_ms, era)
 };
 
 struct change_message
@@ -44,8 +45,9 @@
     std::vector<change_message> changes;
     std::uint64_t revision = 0;
     std::int64_t age_ms = 0;
+    std::uint64_t era = 0;
 
-    MSGPACK_DEFINE(changes, revision, age_ms)
+    MSGPACK_DEFINE(changes, revision, age_ms, era)
 };
 
 http::response empty_response(unsigned status)
@@ -63,7 +65,8 @@
     request_message message;
     message.kind = request.kind;
     message.is_watch = request.call.step == gateway::follow_step::watch;
-    message.revision = request.call.revision;
+    message.revision = request.call.position.revision;
+    message.era = request.call.position.era;
     message.wait_ms = request.call.watch_timeout.count();
     http::request out;
     out.method = "POST";
@@ -85,7 +88,7 @@
     out.kind = in->kind;
     out.call.step =
         in->is_watch ? gateway::follow_step::watch : gateway::follow_step::list;
-    out.call.revision = in->revision;
+    out.call.position = {in->era, in->revision};
     out.call.watch_timeout = milliseconds(in->wait_ms);
     return out;
 }
@@ -96,7 +99,8 @@
     for (const auto& change : answer.batch.changes)
         message.changes.push_back(
             {change.name, change.content, change.deleted});
-    message.revision = answer.batch.revision;
+    message.revision = answer.batch.position.revision;
+    message.era = answer.batch.position.era;
     message.age_ms = answer.age.count();
     auto out = empty_response(status_ok);
     out.body = pack(message);
@@ -132,7 +136,7 @@
         out.batch.changes.push_back({std::move(change.name),
                                      std::move(change.content),
                                      change.deleted});
-    out.batch.revision = in->revision;
+    out.batch.position = {in->era, in->revision};
     out.age = milliseconds(in->age_ms);
     return out;
 }
--- a/lib/entry/spread_server.cpp
+++ b/lib/entry/spread_server.cpp
@@ -36,7 +36,9 @@
     const bool is_starting = watch && !watch->is_complete();
     if (is_starting && now < pending.answer_by)
         return false;
-    if (!watch || !watch->can_serve(now))
+    const bool is_behind = watch && watch->cache().position().era <
+                                        pending.request.call.position.era;
+    if (!watch || is_behind || !watch->can_serve(now))
     {
         answer_(pending.number, encode_spread_unavailable());
         return true;
@@ -44,7 +46,7 @@
     const auto& call = pending.request.call;
     const bool is_list = call.step == gateway::follow_step::list;
     auto batch = is_list ? std::optional(watch->cache().list())
-                         : watch->cache().changes_since(call.revision);
+                         : watch->cache().changes_since(call.position);
     if (!batch)
     {
         answer_(pending.number, encode_spread_history_gone());
--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -46,7 +46,7 @@
                        handlers callbacks)
     : gateway_(gateway), log_(log), handlers_(std::move(callbacks)),
       own_entry_{initial_settings.vm, initial_settings.peer_address,
-                 initial_settings.data_centre, 0},
+                 initial_settings.data_centre, base::random_seed()},
       seeds_(initial_settings.seeds),
       store_address_(initial_settings.store_address),
       directory_(initial_settings.vm, initial_settings.stop_grace),
@@ -96,6 +96,7 @@
     store_watch::handlers out;
     out.on_changes = std::move(on_changes);
     out.on_list = std::move(on_list);
+    out.on_new_era = [this](std::uint64_t era) { on_new_era(era); };
     out.on_failure = [this, name = std::string(kind)](const std::string& text)
     { on_failure(name, text); };
     out.on_call_ended = [this, name = std::string(kind)]
@@ -238,6 +239,8 @@
     {
         if (change.deleted)
         {
+            if (change.name == own_entry_.name)
+                registration_.renew_soon();
             directory_.remove(change.name, base::now());
             continue;
         }
@@ -258,6 +261,8 @@
     for (const auto& name : directory_.names())
         if (!names.contains(name))
             directory_.remove(name, base::now());
+    if (!names.contains(own_entry_.name))
+        registration_.renew_soon();
     update_fleet();
 }
 
@@ -270,6 +275,19 @@
     log_.write({event_id::vms_counted, {{"vms", std::to_string(fleet_size)}}});
 }
 
+// The copy may lack this VM's entry, and entries of servers, which write them
+// again within the time that follows an outage.
+void store_feed::on_new_era(std::uint64_t era)
+{
+    if (era <= store_era_)
+        return;
+    store_era_ = era;
+    last_failure_at_ = base::now();
+    registration_.renew_soon();
+    log_.write({event_id::platform_restored,
+                {{"peer", store_address_}, {"era", std::to_string(era)}}});
+}
+
 // Logs one line when the store is lost, and sweep() one when it is back,
 // however many calls fail in between.
 void store_feed::on_failure(const std::string& kind, const std::string& text)
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -42,8 +42,10 @@
                          std::uint32_t seed)
     : kind_(std::move(kind)), store_address_(std::move(store_address)),
       max_served_age_(max_served_age_in_waits * waits.store),
-      follower_(options), sources_(waits), handlers_(std::move(callbacks)),
-      random_engine_(seed),
+      follower_(options), sources_(waits),
+      cache_([name = kind_](const std::string& content)
+             { return platform::decode_order(name, content); }),
+      handlers_(std::move(callbacks)), random_engine_(seed),
       client_(io,
               {.on_reply =
                    [this](auto, http::response&& reply)
@@ -153,27 +155,58 @@
         on_call_failed(to_string(answer.error()));
         return;
     }
-    // An answer from a VM that is behind must not undo changes known here.
-    const bool is_behind =
-        !call_source_.empty() && answer->batch.revision < follower_.revision();
-    if (is_behind || answer->age > max_answer_age_)
+    if (is_outdated(*answer))
     {
-        on_call_failed("the other VM has outdated objects");
+        on_call_failed("the source has outdated objects");
+        return;
+    }
+    // The changes of a later era continue another state of the store.
+    if (call_step_ == gateway::follow_step::watch &&
+        answer->batch.position.era > follower_.position().era)
+    {
+        follower_.on_history_gone(now);
         return;
     }
     apply_batch(*answer, now);
 }
 
+// An answer of a source that is behind must not undo changes known here.
+bool store_watch::is_outdated(const spread_answer& answer) const
+{
+    const auto known = follower_.position();
+    const auto& position = answer.batch.position;
+    if (call_source_.empty())
+        return position.era < known.era;
+    return position < known || answer.age > max_answer_age_;
+}
+
 void store_watch::apply_batch(const spread_answer& answer, base::instant now)
 {
+    const auto& batch = answer.batch;
+    const auto before = follower_.position().era;
+    const bool was_complete = is_complete();
+    const auto list = follower_.on_batch(batch, now);
+    if (call_step_ == gateway::follow_step::list && !list)
+        return;
     synced_at_ = std::max(synced_at_, now - answer.age);
-    cache_.apply(answer.batch.changes, answer.batch.revision);
-    handlers_.on_changes(answer.batch.changes);
-    if (const auto names = follower_.on_batch(answer.batch, now))
+    if (!list)
     {
-        cache_.keep_only(*names, answer.batch.revision);
-        handlers_.on_list(*names);
+        handlers_.on_changes(cache_.apply(batch.changes, batch.position));
+        return;
     }
+    if (was_complete && list->position.era > before)
+        handlers_.on_new_era(list->position.era);
+    apply_list(*list);
+}
+
+void store_watch::apply_list(const gateway::object_batch& list)
+{
+    const auto current = cache_.replace(list.changes, list.position);
+    std::set<std::string> names;
+    for (const auto& it : current)
+        names.insert(it.name);
+    handlers_.on_changes(current);
+    handlers_.on_list(names);
 }
 
 } // namespace mimosacroft::entry
--- a/lib/gateway/object_cache.cpp
+++ b/lib/gateway/object_cache.cpp
@@ -2,64 +2,154 @@
 #include "mimosacroft/gateway/object_cache.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosacroft::gateway
 {
 
-void object_cache::apply_one(object_change change, std::uint64_t revision)
+bool object_cache::is_older(const std::string& content,
+                            const std::string& than) const
+{
+    const auto order = order_of_(content);
+    const auto other = order_of_(than);
+    return order && other && *order < *other;
+}
+
+bool object_cache::is_outdated(const object_change& change,
+                               std::uint64_t era) const
 {
     if (change.deleted)
-        objects_.erase(change.name);
-    else
-        objects_[change.name] = change.content;
-    history_.push_back({revision, std::move(change)});
+        return false;
+    const auto known = objects_.find(change.name);
+    if (known != objects_.end())
+        return known->second.era < era &&
+               is_older(change.content, known->second.content);
+    const auto gone = removed_.find(change.name);
+    return gone != removed_.end() && gone->second.era < era &&
+           (change.content == gone->second.content ||
+            is_older(change.content, gone->second.content));
+}
+
+void object_cache::append_history(object_change change)
+{
+    history_.push_back({position_.revision, std::move(change)});
     if (history_.size() <= max_history_size)
         return;
     compacted_revision_ = history_.front().revision;
     history_.pop_front();
 }
 
-void object_cache::apply(const std::vector<object_change>& changes,
-                         std::uint64_t revision)
+void object_cache::store(const object_change& change, std::uint64_t era)
+{
+    objects_[change.name] = {change.content, era};
+    removed_.erase(change.name);
+}
+
+void object_cache::remember_removed(const std::string& name, std::uint64_t era)
+{
+    const auto known = objects_.find(name);
+    if (known == objects_.end())
+        return;
+    removed_[name] = {std::move(known->second.content), era};
+    removed_names_.push_back(name);
+    objects_.erase(known);
+    if (removed_names_.size() <= max_removed)
+        return;
+    removed_.erase(removed_names_.front());
+    removed_names_.pop_front();
+}
+
+std::vector<object_change>
+object_cache::apply(const std::vector<object_change>& changes,
+                    store_position position)
 {
     // The changes before the first list are unknown.
-    if (revision_ == 0)
-        compacted_revision_ = revision;
-    revision_ = std::max(revision_, revision);
+    if (position_ == store_position{})
+        compacted_revision_ = position.revision;
+    position_ = std::max(position_, position);
+    std::vector<object_change> out;
     for (const auto& it : changes)
-        apply_one(it, revision_);
+    {
+        if (is_outdated(it, position.era))
+            continue;
+        if (it.deleted)
+            remember_removed(it.name, position.era);
+        else
+            store(it, position.era);
+        append_history(it);
+        out.push_back(it);
+    }
+    return out;
 }
 
-void object_cache::keep_only(const std::set<std::string>& names,
-                             std::uint64_t revision)
+std::vector<object_change>
+object_cache::replace(const std::vector<object_change>& list,
+                      store_position position)
 {
-    revision_ = std::max(revision_, revision);
-    std::vector<std::string> gone;
-    for (const auto& [name, content] : objects_)
+    const bool same_era =
+        position_ != store_position{} && position.era == position_.era;
+    if (!same_era)
+    {
+        history_.clear();
+        compacted_revision_ = position.revision;
+    }
+    position_ = std::max(position_, position);
+    std::vector<object_change> out;
+    std::set<std::string> names;
+    for (auto it : list)
+    {
+        const auto known = objects_.find(it.name);
+        const bool outdated = is_outdated(it, position.era);
+        if (outdated && known == objects_.end())
+            continue;
+        if (outdated)
+            it.content = known->second.content;
+        else if (known == objects_.end() || known->second.content != it.content)
+        {
+            store(it, position.era);
+            append_history(it);
+        }
+        else
+            known->second.era = position.era;
+        names.insert(it.name);
+        out.push_back(std::move(it));
+    }
+    std::vector<std::string> missing;
+    for (const auto& [name, known] : objects_)
         if (!names.contains(name))
-            gone.push_back(name);
-    for (auto& name : gone)
-        apply_one({std::move(name), {}, true}, revision_);
+            missing.push_back(name);
+    for (auto& name : missing)
+    {
+        // A copy may lack an object because it is older than the object. The
+        // object's writer then writes it again.
+        if (same_era)
+            remember_removed(name, position.era);
+        else
+            objects_.erase(name);
+        append_history({std::move(name), {}, true});
+    }
+    return out;
 }
 
 object_batch object_cache::list() const
 {
     object_batch out;
-    out.revision = revision_;
-    for (const auto& [name, content] : objects_)
-        out.changes.push_back({name, content, false});
+    out.position = position_;
+    for (const auto& [name, known] : objects_)
+        out.changes.push_back({name, known.content, false});
     return out;
 }
 
 std::optional<object_batch>
-object_cache::changes_since(std::uint64_t revision) const
+object_cache::changes_since(store_position position) const
 {
-    if (revision < compacted_revision_)
+    if (position.era != position_.era ||
+        position.revision < compacted_revision_)
         return std::nullopt;
     object_batch out;
-    out.revision = std::max(revision, revision_);
+    out.position = std::max(position, position_);
     for (const auto& it : history_)
-        if (it.revision > revision)
+        if (it.revision > position.revision)
             out.changes.push_back(it.change);
     return out;
 }
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -22,7 +22,7 @@
     follow_call out;
     out.step = step_;
     out.after = last_listed_name_;
-    out.revision = revision_;
+    out.position = position_;
     return out;
 }
 
@@ -35,36 +35,41 @@
 {
     step_ = follow_step::list;
     last_listed_name_.clear();
-    listed_names_.clear();
-    first_page_revision_ = 0;
+    listed_.reset();
 }
 
-std::optional<std::set<std::string>>
-object_follower::on_batch(const object_batch& batch, base::instant now)
+std::optional<object_batch> object_follower::on_batch(const object_batch& batch,
+                                                      base::instant now)
 {
     call_in_flight_ = false;
     failures_ = 0;
     next_call_at_ = now;
     if (step_ == follow_step::watch)
     {
-        revision_ = std::max(revision_, batch.revision);
+        position_ = std::max(position_, batch.position);
         next_call_at_ =
             std::max(now, last_call_at_ + options_.min_call_interval);
         return std::nullopt;
     }
-    for (const auto& it : batch.changes)
-        listed_names_.insert(it.name);
-    // Objects may change between two pages. The watch starts at the revision of
+    // The pages before are of another state of the store.
+    if (listed_ && listed_->position.era != batch.position.era)
+    {
+        start_list();
+        return std::nullopt;
+    }
+    // Objects may change between two pages. The watch starts at the position of
     // the first page, so it returns these changes too.
-    if (first_page_revision_ == 0)
-        first_page_revision_ = batch.revision;
+    if (!listed_)
+        listed_.emplace().position = batch.position;
+    listed_->changes.insert(listed_->changes.end(), batch.changes.begin(),
+                            batch.changes.end());
     if (batch.has_more && !batch.changes.empty())
     {
         last_listed_name_ = batch.changes.back().name;
         return std::nullopt;
     }
-    revision_ = first_page_revision_;
-    auto out = std::move(listed_names_);
+    position_ = listed_->position;
+    auto out = std::move(listed_);
     start_list();
     step_ = follow_step::watch;
     has_full_list_ = true;
--- a/unittests/entry/store_feed_test.cpp
+++ b/unittests/entry/store_feed_test.cpp
@@ -132,3 +132,35 @@
     LONGS_EQUAL(1, store.request_count());
     CHECK(time_until([this] { return has_configuration(1); }).has_value());
 }
+
+// Guards against BUDGET and LIMIT after the store came back from a copy that is
+// older than the VM's entry: the others no longer counted the VM.
+TEST(store_feed, a_vm_missing_in_a_copy_registers_again)
+{
+    put_configuration(1);
+    const auto copy = store.copy();
+    start(settings());
+    const auto is_registered = [this]
+    { return store.has(std::string(platform::vms_kind), "vm-5"); };
+    CHECK(time_until(is_registered).has_value());
+    CHECK(time_until([this] { return has_configuration(1); }).has_value());
+    store.restore(*copy);
+    CHECK_FALSE(is_registered());
+    CHECK(time_until(is_registered).has_value());
+}
+
+// The store comes back from a copy with an older configuration and gives out the
+// revisions of before again. A VM that reads from it must follow.
+TEST(store_feed, a_configuration_written_after_a_copy_is_applied)
+{
+    put_configuration(1);
+    const auto copy = store.copy();
+    start(settings());
+    put_configuration(2);
+    CHECK(time_until([this] { return has_configuration(2); }).has_value());
+    store.restore(*copy);
+    put_configuration(3);
+    const auto elapsed = time_until([this] { return has_configuration(3); });
+    CHECK(elapsed.has_value());
+    CHECK(*elapsed < milliseconds(3'000));
+}
--- a/unittests/entry/store_watch_test.cpp
+++ b/unittests/entry/store_watch_test.cpp
@@ -129,6 +129,31 @@
     LONGS_EQUAL(1, vm.completed_lists);
 }
 
+// Guards against CONFIG of 2026-12-04: the store comes back from a copy, and by
+// the next call of the VM its revisions have passed the one that the VM knows,
+// so no call fails with 410. Nothing may be missed.
+TEST(store_watch, changes_after_a_copy_are_not_missed_when_revisions_pass)
+{
+    store.put("things", "a", {{"n", 1}});
+    const auto copy = store.copy();
+    store.put("things", "b", {{"n", 1}});
+    CHECK(run_until([this] { return vm.objects.size() == 2; }));
+    const auto failures = vm.failures;
+    store.set_mode(store_mode::refuses);
+    store.restore(*copy);
+    CHECK(run_until([&] { return vm.failures > failures; }));
+    store.put("things", "c", {{"n", 1}});
+    store.put("things", "a", {{"n", 2}});
+    store.put("things", "d", {{"n", 1}});
+    store.set_mode(store_mode::serves);
+    const auto is_current = [this]
+    {
+        return vm.objects.size() == 3 && vm.objects.contains("c") &&
+               vm.objects["a"] == R"({"n":2})" && vm.objects.contains("d");
+    };
+    CHECK(run_until(is_current));
+}
+
 TEST_GROUP(spread_server)
 {
     http::asio::io_context io;
@@ -210,6 +235,22 @@
     CHECK(child.watch.store_calls() > 0);
 }
 
+// Guards against CONFIG of 2026-12-04: after the store came back from a copy, a
+// VM that reads from another one got no changes any more.
+TEST(spread_server, changes_after_a_copy_reach_a_vm_that_reads_from_another)
+{
+    store.put("things", "a", {{"n", 1}});
+    const auto copy = store.copy();
+    for (int n = 0; n < 20; ++n)
+        store.put("things", "b", {{"n", n}});
+    CHECK(run_until([this] { return child.objects.size() == 2; }));
+    store.restore(*copy);
+    CHECK(run_until([this] { return child.objects.size() == 1; }));
+    store.put("things", "a", {{"n", 2}});
+    CHECK(run_until([this] { return child.objects["a"] == R"({"n":2})"; }));
+    LONGS_EQUAL(0, child.watch.store_calls());
+}
+
 TEST_GROUP(registration)
 {
     http::asio::io_context io;
--- a/unittests/platform/store_standin.hpp
+++ b/unittests/platform/store_standin.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -42,6 +43,12 @@
     /// Discards all events up to now. Pending watches and later ones that start
     /// before the current revision get 410.
     void compact_history();
+    /// The objects and the history at one moment.
+    struct store_copy;
+    std::shared_ptr<const store_copy> copy() const;
+    /// Comes back from a copy: what was written since is lost, its revisions
+    /// are given out again, and watches that wait are cut off with 410.
+    void restore(const store_copy& from);
     void set_page_size(std::size_t objects) { page_size_ = objects; }
     /// Called before an object that a request writes is stored; may change it.
     std::function<void(const std::string& kind, nlohmann::json& spec)>
@@ -85,12 +92,15 @@
     void append_event(const std::string& kind, nlohmann::json object,
                       bool deleted);
 
+    void end_all_watches();
+
     http::asio::io_context& io_;
     store_mode mode_ = store_mode::serves;
     std::size_t page_size_ = 500;
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_revision_ = 0; ///< events up to this are discarded
     std::uint64_t request_count_ = 0;
+    std::uint64_t era_ = 1; ///< rises with each restore()
     std::map<std::string, std::map<std::string, nlohmann::json>>
         objects_by_kind_;
     std::vector<event> history_;
@@ -98,6 +108,14 @@
     http::server server_;
 };
 
+struct store_standin::store_copy
+{
+    std::uint64_t revision = 0;
+    std::uint64_t compacted_revision = 0;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::vector<event> history;
+};
+
 } // namespace mimosacroft::tests
 
 #endif
