Bytes that come without end from a server end the exchange

Callers saw nothing yet. A head and one body were bounded; interim answers and answers of other requests were read for as long as they came, and 8 MB for each of many servers at once are more than a VM's memory. Cause: the bounds were of one message, not of an exchange nor of all of them. Fix: an exchange takes its largest body and 64 KiB besides; all exchanges that go on take 48 MiB, beyond which the one with most fails as malformed, and its connection is closed. Test: client.bytes_without_end_end_the_exchange failed on the code before; the one on all exchanges needs the new option.

--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -37,6 +37,9 @@
 struct client_options
 {
     std::size_t body_bytes = std::size_t{8} << 20; ///< largest answer
+    /// Of all bytes that came for exchanges that go on. Beyond that, the
+    /// exchange with the most of them fails as malformed.
+    std::size_t unfinished_bytes = std::size_t{48} << 20;
     base::milliseconds idle_time{20'000}; ///< where the peer states none
     base::milliseconds connect_time{1'000};
     base::milliseconds unconfirmed_time{3'000}; ///< sent bytes without an ack
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -28,6 +28,9 @@
 // request crosses the peer's close.
 constexpr base::milliseconds idle_margin{500};
 constexpr unsigned first_final_status = 200;
+// What may come for one exchange beside the largest body: heads, interim
+// answers and answers of other requests.
+constexpr std::size_t max_overhead_bytes = std::size_t{64} * 1024;
 
 response to_response(parser_type::value_type&& message)
 {
@@ -69,12 +72,14 @@
 
     connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since);
     void remove(const connection_ptr& it);
+    void fail_largest_if_full();
 
     asio::io_context& io;
     handlers on;
     client_options options;
     std::uint64_t opened = 0;
     traffic moved;
+    std::size_t unfinished = 0; ///< bytes received by the busy connections
     std::unordered_map<exchange_number, connection_ptr> busy;
     std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
 };
@@ -90,6 +95,7 @@
 
     const tcp::endpoint& peer() const { return to_; }
     base::instant last_use() const { return last_use_; }
+    std::size_t received() const { return received_; }
     void start(exchange_number number, const request& message);
     void end();
     /// Idle for longer than the peer keeps it.
@@ -107,6 +113,8 @@
     void on_end_of_stream(const error_code& ec);
     bool parse();
     void on_message();
+    void count_received(std::size_t n);
+    void forget_received();
     void finish(response&& reply);
 
     std::shared_ptr<impl> owner_;
@@ -116,6 +124,7 @@
     std::string out_; ///< the request while it is written
     std::optional<parser_type> parser_;
     exchange_number number_ = 0; ///< 0 while idle
+    std::size_t received_ = 0;   ///< bytes, in this exchange
     bool is_head_ = false;
     bool connected_ = false;
     bool reusable_ = true;
@@ -208,13 +217,31 @@
         end();
         return;
     }
-    owner_->moved.received += n;
     const auto self = shared_from_this();
+    count_received(n);
     while (parse())
         on_message();
     read();
 }
 
+// A peer may send bytes without end, as one answer or as many that don't belong
+// to the request.
+void client::impl::connection::count_received(std::size_t n)
+{
+    owner_->moved.received += n;
+    owner_->unfinished += n;
+    received_ += n;
+    if (received_ > owner_->options.body_bytes + max_overhead_bytes)
+        fail(exchange_failure::malformed);
+    else
+        owner_->fail_largest_if_full();
+}
+
+void client::impl::connection::forget_received()
+{
+    owner_->unfinished -= std::exchange(received_, 0);
+}
+
 void client::impl::connection::on_end_of_stream(const error_code& ec)
 {
     if (number_ == 0)
@@ -281,6 +308,7 @@
 {
     const auto self = shared_from_this();
     const auto number = std::exchange(number_, 0);
+    forget_received();
     last_use_ = base::now();
     owner_->busy.erase(number);
     if (const auto stated = stated_idle_time(reply))
@@ -308,6 +336,7 @@
         return;
     ended_ = true;
     number_ = 0;
+    forget_received();
     close(socket_);
     owner_->remove(shared_from_this());
 }
@@ -344,6 +373,16 @@
         idle.erase(found);
 }
 
+void client::impl::fail_largest_if_full()
+{
+    if (unfinished <= options.unfinished_bytes || busy.empty())
+        return;
+    const auto largest = std::ranges::max_element(
+        busy, {}, [](const auto& it) { return it.second->received(); });
+    const auto it = largest->second;
+    it->fail(exchange_failure::malformed);
+}
+
 client::client(asio::io_context& io, handlers h, client_options options)
     : impl_(std::make_shared<impl>(io, std::move(h), options))
 {
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -199,3 +199,80 @@
     wait_for(1);
     CHECK(run_until(io, [&] { return peer.ended(); }));
 }
+
+// Guards against bytes that are no answer and come without end: each must end
+// its exchange and its connection after a bounded number of bytes.
+TEST(client, bytes_without_end_end_the_exchange)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string other =
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno";
+    const auto repeated = [](const std::string& text)
+    {
+        std::string out;
+        while (out.size() < 16'000)
+            out += text;
+        return out;
+    };
+    http::exchange_number n = 0;
+    for (const std::string& start : {std::string("HTTP/1.1 200 OK\r\nHead: "),
+                                     std::string("HTTP/1.1 200 OK\r\n\r\n"),
+                                     std::string("no http "), interim, other})
+    {
+        const auto piece = start == interim || start == other
+                               ? repeated(start)
+                               : std::string(16'000, 'x');
+        loop_peer endless{io};
+        endless.accept(acceptor);
+        client.send(++n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+        CHECK(run_until(io, [&] { return !endless.got().empty(); }));
+        endless.send(start);
+        std::size_t sent = 0;
+        for (; !failures.contains(n) && sent < 10'000'000; sent += piece.size())
+        {
+            endless.send(piece);
+            io.restart();
+            while (io.poll() > 0)
+                ;
+        }
+        CHECK(failures.contains(n));
+        CHECK(failures.at(n) == exchange_failure::malformed);
+        CHECK(run_until(io, [&] { return endless.ended(); }));
+        endless.close();
+    }
+}
+
+// Guards against the memory of a VM running out while many servers send bytes
+// without end at once.
+TEST(client, the_bytes_of_all_exchanges_that_go_on_are_bounded)
+{
+    http::client_options options;
+    options.unfinished_bytes = 100'000;
+    std::map<http::exchange_number, exchange_failure> ended;
+    http::client bounded{
+        io,
+        {.on_reply = [](auto, http::response&&) {},
+         .on_failure = [&ended](auto n, auto why) { ended[n] = why; }},
+        options};
+    loop_peer first{io};
+    loop_peer second{io};
+    http::exchange_number n = 0;
+    for (auto* it : {&first, &second})
+    {
+        it->accept(acceptor);
+        bounded.send(++n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+        CHECK(run_until(io, [&] { return !it->got().empty(); }));
+        it->send("HTTP/1.1 200 OK\r\n\r\n");
+    }
+    for (int pieces = 0; pieces < 20 && ended.empty(); ++pieces)
+    {
+        first.send(std::string(16'000, 'x'));
+        second.send(std::string(4'000, 'x'));
+        io.restart();
+        io.run_for(base::milliseconds(5));
+    }
+    LONGS_EQUAL(1, ended.size());
+    CHECK(ended.at(1) == exchange_failure::malformed);
+    first.close();
+    second.close();
+}
