Soak: servers that state limits, and a store that comes back from a copy

New faults: a server states a limit of 3 requests a second for 9 s; the store comes back from a copy up to 4 s old after a moment away, with revisions lower by hundreds, and what operators and servers wrote is written again. New promise: in 4 s no server with a limit gets more than one and a half times what that allows, and 5 requests, unless a VM was started, stopped or paused around that.

--- a/unittests/entry/store_feed_test.cpp
+++ b/unittests/entry/store_feed_test.cpp
@@ -149,8 +149,8 @@
     CHECK(time_until(is_registered).has_value());
 }
 
-// The store comes back from a copy with an older configuration and gives out the
-// revisions of before again. A VM that reads from it must follow.
+// The store comes back from a copy with an older configuration and gives out
+// the revisions of before again. A VM that reads from it must follow.
 TEST(store_feed, a_configuration_written_after_a_copy_is_applied)
 {
     put_configuration(1);
--- a/unittests/platform/standin_wire.cpp
+++ b/unittests/platform/standin_wire.cpp
@@ -106,6 +106,11 @@
             std::move(body)};
 }
 
+void state_limit(http::response& reply, double per_second)
+{
+    reply.headers.push_back({"Server-Limit", std::to_string(per_second)});
+}
+
 http::response make_failure_reply(const received_request& to)
 {
     return {status_failed, {{id_header, to.id}}, "failed"};
--- a/unittests/platform/standin_wire.hpp
+++ b/unittests/platform/standin_wire.hpp
@@ -50,6 +50,8 @@
 http::response make_success_reply(const received_request& to,
                                   const std::string& signature,
                                   std::string body);
+/// Adds the limit of requests per second that a server states.
+void state_limit(http::response& reply, double per_second);
 /// Encodes the failure, with status 500, of a request that ran.
 http::response make_failure_reply(const received_request& to);
 /// Encodes the refusal of a request that has not run and never will. `status`
--- a/unittests/soak/faults.cpp
+++ b/unittests/soak/faults.cpp
@@ -23,7 +23,9 @@
     server_fails,
     server_replaced,
     server_leaves,
-    configuration_changes
+    configuration_changes,
+    store_restored,
+    server_limits
 };
 
 } // namespace mimosacroft::tests
@@ -31,14 +33,15 @@
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::tests::fault_kind>
 {
-    static constexpr std::array<std::string_view, 14> table = {
+    static constexpr std::array<std::string_view, 16> table = {
         "kill_vm",           "stop_vm",
         "pause_vm",          "signal_settings",
         "silent_settings",   "store_fails",
         "history_forgotten", "store_link_fails",
         "peer_link_fails",   "server_link_fails",
         "server_fails",      "server_replaced",
-        "server_leaves",     "configuration_changes"};
+        "server_leaves",     "configuration_changes",
+        "store_restored",    "server_limits"};
 };
 
 template <>
@@ -73,6 +76,9 @@
 constexpr milliseconds shortest_fault{300};
 constexpr milliseconds longest_pause{2'000};
 constexpr milliseconds leaving_time{8'000};
+constexpr milliseconds limited_time{9'000};
+constexpr milliseconds oldest_copy{4'000};
+constexpr milliseconds longest_restore{1'500};
 
 std::size_t draw(std::minstd_rand& random, std::size_t n)
 {
@@ -188,6 +194,13 @@
     case fault_kind::configuration_changes:
         in.change_configuration();
         return {};
+    case fault_kind::store_restored:
+        in.restore_store(draw_time(random, oldest_copy),
+                         draw_time(random, longest_restore));
+        return {};
+    case fault_kind::server_limits:
+        in.limit_server(server, limited_time);
+        return at_server;
     }
     return {};
 }
--- a/unittests/soak/ledger.cpp
+++ b/unittests/soak/ledger.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds leaving_known_after{3'000};
 // What a fault has delayed is made up for within this.
 constexpr milliseconds recovery_time{4'000};
+// Each VM has had an answer with the limit of a server by then.
+constexpr milliseconds limit_known_after{4'000};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_failed = 502;
@@ -284,6 +286,46 @@
     }
 }
 
+// No VM was stopped, started or paused.
+bool ledger::is_fleet_calm(instant from, instant to) const
+{
+    const auto meets = [from, to](const auto& spans)
+    {
+        return std::ranges::any_of(spans.second, [from, to](const auto& it)
+                                   { return it.meets(from, to); });
+    };
+    return std::ranges::none_of(vm_gone, meets) &&
+           std::ranges::none_of(vm_paused, meets);
+}
+
+// Once the VMs know that a server has a limit, it gets in 4 s no more than one
+// and a half times what that allows, and 5 requests.
+void ledger::check_limits(std::vector<std::string>& out) const
+{
+    constexpr base::seconds window{4};
+    constexpr auto most = static_cast<std::size_t>(1.5 * soak_limit * 4 + 5);
+    for (const auto& [server, spans] : limited)
+    {
+        std::vector<instant> all;
+        for (const auto& it : arrivals)
+            if (it.server == server)
+                all.push_back(it.at);
+        for (const auto& span : spans)
+            for (std::size_t n = most; n < all.size(); ++n)
+            {
+                const auto first = all[n - most];
+                const bool within =
+                    first >= span.from + limit_known_after && all[n] <= span.to;
+                if (within && all[n] - first < window &&
+                    is_fleet_calm(first - window, all[n]))
+                {
+                    out.push_back(server + " got more than its limit");
+                    break;
+                }
+            }
+    }
+}
+
 std::vector<std::string> ledger::check() const
 {
     std::vector<std::string> out;
@@ -299,6 +341,7 @@
     check_runs(out);
     check_probes(out);
     check_leaving(out);
+    check_limits(out);
     check_budget(out);
     return out;
 }
--- a/unittests/soak/ledger.hpp
+++ b/unittests/soak/ledger.hpp
@@ -50,6 +50,9 @@
     bool ran = false;
 };
 
+/// Requests per second that a server with a limit takes from all VMs together.
+inline constexpr double soak_limit = 3;
+
 /// Sixteen bytes each.
 std::string records_of(const std::string& service);
 std::string signature_of(const std::string& server, const std::string& request,
@@ -72,6 +75,8 @@
     std::vector<time_span> trouble;
     /// When servers were listed as leaving, by id.
     std::map<std::string, std::vector<time_span>> leaving;
+    /// When servers stated soak_limit, by id.
+    std::map<std::string, std::vector<time_span>> limited;
     struct configuration_probe
     {
         std::size_t caller = 0; ///< its record
@@ -97,6 +102,8 @@
     void check_probes(std::vector<std::string>& out) const;
     void check_leaving(std::vector<std::string>& out) const;
     bool had_trouble(base::instant from, base::instant to) const;
+    void check_limits(std::vector<std::string>& out) const;
+    bool is_fleet_calm(base::instant from, base::instant to) const;
     void check_budget(std::vector<std::string>& out) const;
     std::string check_windows(const std::string& service,
                               const std::vector<arrival_record>& all) const;
--- a/unittests/soak/standin_server.cpp
+++ b/unittests/soak/standin_server.cpp
@@ -56,14 +56,20 @@
     seen_.arrivals.push_back(
         {base::now(), question.id, entry_.service, entry_.id, runs});
     if (!runs)
-        server_.answer(number,
-                       make_not_executed_reply(question, status_unavailable));
+        answer(number, make_not_executed_reply(question, status_unavailable));
     else if (mode_ == server_mode::fails)
-        server_.answer(number, make_failure_reply(question));
+        answer(number, make_failure_reply(question));
     else if (mode_ != server_mode::is_dark)
         finish(number, question);
 }
 
+void standin_server::answer(http::request_number number, http::response reply)
+{
+    if (limit_ > 0)
+        state_limit(reply, limit_);
+    server_.answer(number, reply);
+}
+
 void standin_server::finish(http::request_number number,
                             const received_request& question)
 {
@@ -76,7 +82,7 @@
     const auto timer = std::make_shared<http::asio::steady_timer>(
         io_, mode_ == server_mode::is_slow ? slow_work_time : work_time);
     timer->async_wait([this, number, reply, timer](const http::error_code&)
-                      { server_.answer(number, reply); });
+                      { answer(number, reply); });
 }
 
 } // namespace mimosacroft::tests
--- a/unittests/soak/standin_server.hpp
+++ b/unittests/soak/standin_server.hpp
@@ -35,11 +35,14 @@
     proxy& link() { return link_; }
     void set_mode(server_mode mode) { mode_ = mode; }
     void set_leaving(bool leaving) { entry_.leaving = leaving; }
+    /// The requests per second that its answers state as its limit; none: 0.
+    void set_limit(double per_second) { limit_ = per_second; }
     /// Another server takes its address; gives the id that it had.
     std::string replace();
 
 private:
     void on_request(http::request_number number, const http::request& message);
+    void answer(http::request_number number, http::response reply);
     void finish(http::request_number number, const received_request& question);
 
     http::asio::io_context& io_;
@@ -47,6 +50,7 @@
     gateway::server_entry entry_;
     server_mode mode_ = server_mode::works;
     int replaced_ = 0;
+    double limit_ = 0;
     http::server server_;
     proxy link_;
 };
--- a/unittests/soak/world.cpp
+++ b/unittests/soak/world.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <utility>
 
 namespace mimosacroft::tests
 {
@@ -33,6 +34,9 @@
 constexpr milliseconds pause_tail{500};
 // A VM stops, starts again and serves within this.
 constexpr milliseconds planned_time{6'000};
+// After the store came back from a copy.
+constexpr milliseconds written_again_after{700};
+constexpr int lost_revisions = 400;
 constexpr unsigned status_ok = 200;
 
 gateway::search_ptr make_search(const std::string& name,
@@ -138,8 +142,7 @@
         it.started_at = 1;
         servers_.push_back(std::make_unique<standin_server>(
             io_, seen_, it, free_endpoint(), free_endpoint()));
-        store_.put(std::string(platform::servers_kind), it.id,
-                   server_spec(servers_.back()->entry()));
+        put_server(*servers_.back());
     };
     for (std::size_t shard = 0; shard < shard_count; ++shard)
         for (std::size_t n = 0; n < 2; ++n)
@@ -321,7 +324,56 @@
     const auto old = it.replace();
     seen_.ended_servers.insert(old);
     store_.remove(kind, old);
-    store_.put(kind, it.entry().id, server_spec(it.entry()));
+    put_server(it);
+}
+
+void world::put_server(standin_server& it)
+{
+    auto spec = server_spec(it.entry());
+    spec["sequence"] = ++server_writes_;
+    store_.put(std::string(platform::servers_kind), it.entry().id,
+               std::move(spec));
+}
+
+void world::limit_server(std::size_t n, milliseconds length)
+{
+    auto& it = server(n);
+    it.set_limit(soak_limit);
+    seen_.limited[it.entry().id].push_back({base::now(), base::now() + length});
+    after(length, [&it] { it.set_limit(0); });
+}
+
+void world::restore_store(milliseconds age, milliseconds away)
+{
+    if (std::exchange(restores_, true))
+        return;
+    note_trouble(age + away + written_again_after);
+    after(age,
+          [this, copy = store_.copy(), away]
+          {
+              // Others use the store as well, so revisions go back by many.
+              for (int n = 0; n < lost_revisions; ++n)
+                  store_.put("unrelated", "object", {{"n", ++unrelated_}});
+              store_.set_mode(store_mode::refuses);
+              after(away,
+                    [this, copy]
+                    {
+                        store_.restore(*copy);
+                        store_.set_mode(store_mode::serves);
+                        after(written_again_after, [this] { write_again(); });
+                    });
+          });
+}
+
+void world::write_again()
+{
+    restores_ = false;
+    // Entries of servers that are gone lapse.
+    for (const auto& id : seen_.ended_servers)
+        store_.remove(std::string(platform::servers_kind), id);
+    for (const auto& it : servers_)
+        put_server(*it);
+    put_configuration();
 }
 
 void world::set_leaving(std::size_t n, bool leaving)
@@ -335,8 +387,7 @@
         times.push_back({base::now(), base::never});
     else if (!times.empty())
         times.back().to = base::now();
-    store_.put(std::string(platform::servers_kind), it.entry().id,
-               server_spec(it.entry()));
+    put_server(it);
 }
 
 void world::change_configuration()
--- a/unittests/soak/world.hpp
+++ b/unittests/soak/world.hpp
@@ -59,6 +59,11 @@
     void replace_server(std::size_t n);
     /// What its entry says of leaving.
     void set_leaving(std::size_t n, bool leaving);
+    /// The server states a limit in its answers for a while.
+    void limit_server(std::size_t n, base::milliseconds length);
+    /// After `age` the store fails, and after `away` more it comes back from a
+    /// copy of now. Operators and servers then write again what they wrote.
+    void restore_store(base::milliseconds age, base::milliseconds away);
     /// A new version; every VM that was not disturbed must know it in time.
     void change_configuration();
 
@@ -102,6 +107,8 @@
     void note_serves(std::size_t vm);
     void watch_stop(std::size_t n, base::instant by);
     void put_configuration();
+    void put_server(standin_server& it);
+    void write_again();
     void send_load();
     std::size_t send(std::size_t vm, const gateway::search_ptr& search,
                      const std::string& path);
@@ -120,6 +127,9 @@
     http::client callers_;
     std::unordered_map<http::exchange_number, std::size_t> open_; ///< records
     std::uint64_t version_ = 1;
+    std::uint64_t server_writes_ = 0; ///< the count in the servers' entries
+    std::uint64_t unrelated_ = 0;     ///< content of an object of others
+    bool restores_ = false;           ///< one at a time
     std::vector<std::string> broken_;
     bool loads_ = false;
 };
