--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -135,10 +135,63 @@
            " stays in force and what it holds in older versions is not taken";
 }
 
-// Waits until every VM that the server knows has the version in force.
-int wait_in_force(const client& to, std::uint64_t version,
+// A resource that was applied, and the version in which the platform holds it.
+struct written_resource
+{
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+};
+
+// Says what keeps a resource that was applied from being in force, if anything.
+// All VMs may have seen higher versions than it has when the platform's store
+// came back older: these then stand for changes that the store has lost.
+std::optional<std::string> find_newer_in_force(const client& to,
+                                               const written_resource& it,
+                                               const json& items)
+{
+    const auto held =
+        std::ranges::find_if(items, [&it](const json& one)
+                             { return one.value("name", "") == it.name; });
+    const bool is_held = held != items.end();
+    const auto in_force =
+        is_held ? held->value("version", std::uint64_t{0}) : std::uint64_t{0};
+    if (is_held && in_force <= it.version)
+        return std::nullopt;
+    // Another operator may have replaced or deleted it meanwhile.
+    const auto current = operate::read_current(to, path_of(it.kind, it.name));
+    if (current && is_held && current->version >= in_force)
+        return std::nullopt;
+    if (current && !is_held && current->version == 0)
+        return std::nullopt;
+    return it.kind + " " + it.name + " is written as version " +
+           std::to_string(it.version) + " and not in force: " +
+           (is_held ? "version " + std::to_string(in_force) : "its deletion") +
+           " stays in force, which the platform's store has lost";
+}
+
+std::optional<std::string>
+find_newer_in_force(const client& to, const std::vector<written_resource>& all)
+{
+    for (const auto& it : all)
+    {
+        const auto in = body_of(to.call("GET", "/v1/resources/" + it.kind));
+        if (!in)
+            return "what is in force cannot be read";
+        if (auto found = find_newer_in_force(to, it, (*in)["items"]))
+            return found;
+    }
+    return std::nullopt;
+}
+
+// Waits until every VM that the server knows has what was written in force.
+int wait_in_force(const client& to, const std::vector<written_resource>& all,
                   base::milliseconds most)
 {
+    const auto version =
+        all.empty()
+            ? 0
+            : std::ranges::max(all, {}, &written_resource::version).version;
     const auto due = std::chrono::steady_clock::now() + most;
     std::string lagging;
     do
@@ -163,6 +216,8 @@
         }
         if (lagging.empty())
         {
+            if (const auto found = find_newer_in_force(to, all))
+                return complain(*found);
             std::cout << "version " << version << " is in force on " << n
                       << " of " << n << " VMs\n";
             return EXIT_SUCCESS;
@@ -186,22 +241,23 @@
             return complain(base::to_string(some.error()));
         std::ranges::move(*some, std::back_inserter(all));
     }
-    std::uint64_t latest = 0;
+    std::vector<written_resource> written;
     for (const auto& it : all)
     {
         const auto done = apply_one(to, it);
         if (!done)
             return complain(base::to_string(done.error()));
-        std::cout << base::name_of(it.declared.kind) << " " << it.declared.name
+        const std::string kind(base::name_of(it.declared.kind));
+        std::cout << kind << " " << it.declared.name
                   << (done->changed
                           ? " applied, version " + std::to_string(done->version)
                           : std::string(" unchanged"))
                   << "\n";
-        latest = std::max(latest, done->version);
+        written.push_back({kind, it.declared.name, done->version});
     }
     if (!s.flag("wait"))
         return EXIT_SUCCESS;
-    return wait_in_force(to, latest, base::milliseconds(s.number("wait-ms")));
+    return wait_in_force(to, written, base::milliseconds(s.number("wait-ms")));
 }
 
 int remove(const client& to, const std::string& kind, const std::string& name)
--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -296,6 +296,22 @@
     STRCMP_CONTAINS("came back older", ctl(fleet, 0, {"status"}).text.c_str());
 }
 
+// Guards against CONFIG of 2026-12-04 for operators: after the store came back
+// from a copy, a VM that doesn't read from it said that a change was in force
+// whose version had been given out before.
+TEST(operators, an_apply_at_a_version_used_before_a_copy_is_not_in_force)
+{
+    process_fleet fleet(plan_at(1100));
+    CHECK(fleet.serving());
+    fleet.stop_platform();
+    fleet.start_platform();
+    const auto it =
+        ctl(fleet, 2,
+            {"apply", "--wait", "--file", write_search(fleet, "again", 450)});
+    LONGS_EQUAL(1, it.code);
+    STRCMP_CONTAINS("and not in force", it.text.c_str());
+}
+
 TEST(operators, an_unchanged_apply_waits_for_the_version_that_is_there)
 {
     const process_fleet fleet(plan_at(1140));
