--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -3,8 +3,10 @@
 #include "raw_server.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <functional>
 #include <optional>
+#include <utility>
 
 using namespace mimosacroft;
 using namespace mimosacroft::tests;
@@ -19,6 +21,77 @@
     return std::chrono::steady_clock::now() + base::milliseconds(n);
 }
 
+// The largest reply, and what fits into the buffers of both sockets.
+constexpr std::size_t max_endless_bytes = 32 << 20;
+
+// A server that repeats a piece after the start of its reply until the client
+// closes or reads nothing for a while, up to 64 MB.
+class endless_server
+{
+public:
+    endless_server(const std::string& start, const std::string& piece)
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        auto at = raw_server::loopback(0);
+        auto* address = reinterpret_cast<sockaddr*>(&at);
+        socklen_t size = sizeof at;
+        if (::bind(listener_, address, size) != 0)
+            throw std::runtime_error("cannot bind a loopback port");
+        ::getsockname(listener_, address, &size);
+        ::listen(listener_, 1);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        thread_ = std::thread([this, start, piece] { run(start, piece); });
+    }
+
+    endless_server(const endless_server&) = delete;
+    endless_server& operator=(const endless_server&) = delete;
+
+    /// Bytes that were sent.
+    std::size_t wait_for_close()
+    {
+        if (thread_.joinable())
+            thread_.join();
+        return sent_;
+    }
+
+    ~endless_server()
+    {
+        wait_for_close();
+        ::close(listener_);
+    }
+
+    const std::string& address() const { return address_; }
+
+private:
+    void run(const std::string& start, const std::string& piece)
+    {
+        const int link = ::accept(listener_, nullptr, nullptr);
+        const timeval limit{2, 0};
+        ::setsockopt(link, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+        char buf[4096];
+        (void)!::recv(link, buf, sizeof buf, 0);
+        std::string out = start;
+        while (out.size() < 16'000)
+            out += piece;
+        for (ssize_t n = 0; n >= 0 && sent_ < 64'000'000;)
+        {
+            n = ::send(link, out.data(), out.size(), MSG_NOSIGNAL);
+            sent_ += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+            if (n != static_cast<ssize_t>(out.size()))
+                break;
+            out.clear();
+            while (out.size() < 16'000)
+                out += piece;
+        }
+        ::close(link);
+    }
+
+    int listener_ = -1;
+    std::string address_;
+    std::size_t sent_ = 0;
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_GROUP(http_client)
@@ -48,6 +121,20 @@
         return std::move(*out);
     }
 
+    // Checks that a reply that goes on without end is given up before the
+    // deadline.
+    void must_end(const std::string& start, const std::string& piece)
+    {
+        endless_server server(start, piece);
+        const auto result = call(server.address(), 10'000);
+        const auto text = start + piece;
+        CHECK_FALSE_TEXT(result.has_value(), text.c_str());
+        CHECK_TEXT(result.error().code != base::error_code::timeout,
+                   text.c_str());
+        LONGS_EQUAL(0, client.connections(server.address()));
+        CHECK_TEXT(server.wait_for_close() < max_endless_bytes, text.c_str());
+    }
+
     // An error's code; fails on a reply.
     base::error_code code(const reply_result& it)
     {
@@ -160,3 +247,29 @@
     loop.run();
     STRCMP_EQUAL("handler", failure.c_str());
 }
+
+// Guards against bytes without end from a server: in a head or a chunk's size,
+// they must end the call and the connection after a bounded number of bytes.
+TEST(http_client, a_head_or_chunk_size_without_end_ends_the_call)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string x(100, 'x');
+    must_end("", x);
+    must_end(head, x);
+    must_end(head + "Name: ", x);
+    must_end(head, "Name: value\r\n");
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    must_end(chunked, "9");
+    must_end(chunked + "2;", x);
+}
+
+// Guards against bytes without end from a server, in a body.
+TEST(http_client, a_body_without_end_ends_the_call)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string x(100, 'x');
+    must_end(head + "Content-Length: 99999999999\r\n\r\n", x);
+    must_end(chunked, "64\r\n" + x + "\r\n");
+    must_end(chunked + "ffffffff\r\n", x);
+}
