mimosad follows a platform that comes back from a copy, if it states its era

Operators of mimosad got an acknowledgement for a change that was in force nowhere, after the platform had come back from a copy: it gave out versions again that the VMs had already seen, and these took it as older, for good. Cause: versions of objects were compared as if they could only rise. Fix: the platform may state in its replies its era and the version of the copy. Versions are ordered over eras: those up to the copy's keep their number, later ones are above all that was given out before. So nothing that the copy holds in an older version comes back into force, and what is written afterwards does. A watch that meets a later era reads everything again. mimosactl's wait compares ordered versions too. Without an era all stays as it was. The stand-in of the platform can make a copy and come back from it.

--- a/include/mimosacroft/fleet/platform_codec.hpp
+++ b/include/mimosacroft/fleet/platform_codec.hpp
@@ -11,7 +11,8 @@
 {
 
 /// Reads the reply of a watch: the objects that changed and the version up to
-/// which the reply is complete.
+/// which the reply is complete, both ordered over the store's eras (see
+/// model/store_era.hpp). The fields "era" and "since" state the era.
 base::result<wire::config_push> parse_changes(const std::string& json);
 
 /// Reads the reply of the list of VMs. When the platform says that the version
--- a/include/mimosacroft/fleet/watch_cursor.hpp
+++ b/include/mimosacroft/fleet/watch_cursor.hpp
@@ -4,10 +4,13 @@
 // does not wait for versions that the older store will not reach for long;
 // what the VM holds stays in force, since objects are compared one by one. It
 // starts again too when the platform was away for a while: an older store may
-// have passed the version by then.
+// have passed the version by then. A platform that states its era is known to
+// be older by its first answer; versions here are ordered over eras.
 #ifndef MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
 #define MIMOSACROFT_FLEET_WATCH_CURSOR_HPP
 
+#include "mimosacroft/model/store_era.hpp"
+
 #include <cstdint>
 
 namespace mimosacroft::fleet
@@ -18,7 +21,8 @@
     current,
     stale, ///< older than an earlier answer; not the first such one in a row
     first_stale,
-    store_older ///< several stale answers in a row: the store itself is older
+    store_older ///< the store itself came back older: it is in a later era, or
+                ///< several answers in a row were stale
 };
 
 class watch_cursor
@@ -40,6 +44,12 @@
     /// Takes the version of an answer to a call that asked after `asked`.
     watch_answer take(std::uint64_t asked, std::uint64_t version)
     {
+        // The changes of a later era since `asked` are those of other versions.
+        if (asked > 0 && model::era_number(version) > model::era_number(asked))
+        {
+            restart();
+            return watch_answer::store_older;
+        }
         if (version >= asked)
         {
             stale_ = 0;
--- a/lib/daemon/operator_api.cpp
+++ b/lib/daemon/operator_api.cpp
@@ -6,6 +6,7 @@
 #include "mimosacroft/daemon/caller_api.hpp"
 #include "mimosacroft/daemon/status_page.hpp"
 #include "mimosacroft/model/schema.hpp"
+#include "mimosacroft/model/store_era.hpp"
 #include "mimosacroft/net/http_server.hpp"
 
 #include <nlohmann/json.hpp>
@@ -61,11 +62,13 @@
     nlohmann::json out = nlohmann::json::parse(entry.body, nullptr, false);
     if (!out.is_object())
         out = {{"kind", entry.kind}, {"name", entry.name}};
-    out["version"] = entry.version;
+    out["version"] = model::store_version(entry.version);
+    out["config_version"] = entry.version;
     return out;
 }
 
-// Lists what this VM has in force, with the version it reaches to.
+// Lists what this VM has in force, with the version it reaches to. `version` of
+// an item is the platform's; `config_version` is ordered over its eras.
 wire::http_reply list(runtime& rt, const std::string& kind)
 {
     return rt.call(
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -2,6 +2,7 @@
 #include "mimosacroft/fleet/agent.hpp"
 
 #include "mimosacroft/fleet/platform_codec.hpp"
+#include "mimosacroft/model/store_era.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -123,11 +124,12 @@
     {
         const auto wait =
             cursor_.in_doubt() ? base::milliseconds(0) : options_.watch_wait;
-        id = platform_.get("/v1/changes",
-                           "after=" + std::to_string(cursor_.after()) +
-                               "&wait_ms=" + std::to_string(wait.count()) +
-                               "&kinds=" + watched_kinds,
-                           wait, now, out);
+        id = platform_.get(
+            "/v1/changes",
+            "after=" + std::to_string(model::store_version(cursor_.after())) +
+                "&wait_ms=" + std::to_string(wait.count()) +
+                "&kinds=" + watched_kinds,
+            wait, now, out);
     }
     else
     {
--- a/lib/fleet/platform_codec.cpp
+++ b/lib/fleet/platform_codec.cpp
@@ -1,6 +1,8 @@
 // Reads the JSON of the platform's object API.
 #include "mimosacroft/fleet/platform_codec.hpp"
 
+#include "mimosacroft/model/store_era.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace mimosacroft::fleet
@@ -23,6 +25,12 @@
     }
 }
 
+model::store_era parse_era(const nlohmann::json& in)
+{
+    return {in.value("era", std::uint64_t{0}),
+            in.value("since", std::uint64_t{0})};
+}
+
 } // namespace
 
 base::result<wire::config_push> parse_changes(const std::string& json)
@@ -32,13 +40,16 @@
         [](const nlohmann::json& in)
         {
             wire::config_push out;
-            out.through = in.at("version").get<std::uint64_t>();
+            const auto era = parse_era(in);
+            out.through = era.number * model::era_span +
+                          in.at("version").get<std::uint64_t>();
             for (const auto& it : in.at("objects"))
             {
                 auto& entry = out.entries.emplace_back();
                 entry.kind = it.at("kind").get<std::string>();
                 entry.name = it.at("name").get<std::string>();
-                entry.version = it.at("version").get<std::uint64_t>();
+                entry.version = model::ordered_version(
+                    it.at("version").get<std::uint64_t>(), era);
                 entry.deleted = it.value("deleted", false);
                 if (!entry.deleted)
                     entry.body = it.at("value").dump();
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -1,6 +1,7 @@
 // A small stand-in of the platform's object API: versions, conditional updates,
 // waiting reads of changes, and a list of entry VMs that lags. Its faults are
-// switched on by POST /standin/faults. Keeps everything in memory.
+// switched on by POST /standin/faults. Keeps everything in memory, and comes
+// back from a copy: {"copy": true} makes one, {"restore": true} uses it.
 #include "mimosacroft/base/text.hpp"
 #include "mimosacroft/base/utc_time.hpp"
 #include "mimosacroft/daemon/serve.hpp"
@@ -107,7 +108,7 @@
         auto it = objects_.find({kind, name});
         const bool exists = it != objects_.end() && !it->second.deleted;
         if (request.method == "GET")
-            return exists ? reply(200, to_json(it->second))
+            return exists ? reply(200, with_era(to_json(it->second)))
                           : reply(404, {{"error", "no such object"}});
         const auto match = wire::header_of(request.headers, "if-match");
         const std::uint64_t current = exists ? it->second.version : 0;
@@ -126,7 +127,7 @@
                 made.value = request.body;
         }
         changed_.notify_all();
-        return reply(200, {{"version", made.version}});
+        return reply(200, with_era({{"version", made.version}}));
     }
 
     wire::http_reply changes(std::uint64_t after, std::uint64_t wait_ms,
@@ -136,13 +137,18 @@
         ++calls_;
         const auto due = std::chrono::steady_clock::now() +
                          base::milliseconds(std::min(wait_ms, max_wait_ms));
-        changed_.wait_until(lock, due,
-                            [&] { return newest(kinds) > after || closing_; });
+        const auto is_due = [&, era = era_]
+        {
+            const bool is_of_another_era =
+                era != era_ || (era_ > 0 && after > version_);
+            return newest(kinds) > after || is_of_another_era || closing_;
+        };
+        changed_.wait_until(lock, due, is_due);
         auto list = json::array();
         for (const auto& [key, it] : objects_)
             if (it.version > after && wanted(kinds, it.kind))
                 list.push_back(to_json(it));
-        return reply(200, {{"version", version_}, {"objects", list}});
+        return reply(200, with_era({{"version", version_}, {"objects", list}}));
     }
 
     /// Names and versions of a kind's objects, in the order of the names.
@@ -172,6 +178,25 @@
         return {{"calls", calls_}, {"objects", objects}};
     }
 
+    void make_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        copy_ = {objects_, newest_, version_};
+    }
+
+    /// Comes back from the copy: later changes are lost, and their versions are
+    /// given out again.
+    void restore()
+    {
+        const std::lock_guard lock(mutex_);
+        objects_ = copy_.objects;
+        newest_ = copy_.newest;
+        version_ = copy_.version;
+        ++era_;
+        since_ = version_;
+        changed_.notify_all();
+    }
+
     void close()
     {
         const std::lock_guard lock(mutex_);
@@ -180,6 +205,22 @@
     }
 
 private:
+    using object_map = std::map<std::pair<std::string, std::string>, object>;
+    using version_map = std::map<std::string, std::uint64_t>;
+
+    struct content
+    {
+        object_map objects;
+        version_map newest;
+        std::uint64_t version = 0;
+    };
+
+    json with_era(json body) const
+    {
+        body.update({{"era", era_}, {"since", since_}});
+        return body;
+    }
+
     static bool wanted(const std::string& kinds, const std::string& kind)
     {
         return kinds.empty() ||
@@ -198,9 +239,12 @@
 
     std::mutex mutex_; // guards all below
     std::condition_variable changed_;
-    std::map<std::pair<std::string, std::string>, object> objects_;
-    std::map<std::string, std::uint64_t> newest_; ///< version, by kind
+    object_map objects_;
+    version_map newest_; ///< version, by kind
     std::uint64_t version_ = 0;
+    std::uint64_t era_ = 0;   ///< how often it came back from a copy
+    std::uint64_t since_ = 0; ///< version of the copy it came back from last
+    content copy_;
     std::uint64_t calls_ = 0;
     bool closing_ = false;
 };
@@ -334,6 +378,10 @@
         const auto in = json::parse(request.body, nullptr, false);
         if (!in.is_object())
             return reply(400, {{"error", "an object is needed"}});
+        if (in.value("copy", false))
+            store_.make_copy();
+        if (in.value("restore", false))
+            store_.restore();
         const std::lock_guard lock(mutex_);
         faults_.down = in.value("down", faults_.down);
         faults_.delay_ms = in.value("delay_ms", faults_.delay_ms);
--- a/tools/mimosactl.cpp
+++ b/tools/mimosactl.cpp
@@ -1,6 +1,7 @@
 // mimosactl: the operators' command.
 #include "mimosacroft/base/time.hpp"
 #include "mimosacroft/daemon/settings.hpp"
+#include "mimosacroft/model/store_era.hpp"
 #include "mimosacroft/operate/log_explainer.hpp"
 #include "mimosacroft/operate/operator_client.hpp"
 #include "mimosacroft/operate/resource_file.hpp"
@@ -135,7 +136,8 @@
            " stays in force and what it holds in older versions is not taken";
 }
 
-// A resource that was applied, and the version in which the platform holds it.
+// A resource that was applied. Its version is ordered over the platform's eras,
+// as the versions of the VMs are.
 struct written_resource
 {
     std::string kind;
@@ -143,6 +145,24 @@
     std::uint64_t version = 0;
 };
 
+// Reads what the platform holds: the version, ordered over its eras, or 0 if
+// the resource does not exist. Returns nothing if it can't be read.
+std::optional<std::uint64_t>
+read_version(const client& to, const std::string& kind, const std::string& name)
+{
+    const auto reply = to.call("GET", path_of(kind, name));
+    if (reply && reply->status == wire::status_not_found)
+        return 0;
+    if (!reply || reply->status != wire::status_ok)
+        return std::nullopt;
+    const auto in = json::parse(reply->body, nullptr, false);
+    if (!in.is_object())
+        return std::nullopt;
+    return model::ordered_version(in.value("version", std::uint64_t{0}),
+                                  {in.value("era", std::uint64_t{0}),
+                                   in.value("since", std::uint64_t{0})});
+}
+
 // Says what keeps a resource that was applied from being in force, if anything.
 // All VMs may have seen higher versions than it has when the platform's store
 // came back older: these then stand for changes that the store has lost.
@@ -154,19 +174,21 @@
         std::ranges::find_if(items, [&it](const json& one)
                              { return one.value("name", "") == it.name; });
     const bool is_held = held != items.end();
-    const auto in_force =
-        is_held ? held->value("version", std::uint64_t{0}) : std::uint64_t{0};
+    const auto in_force = is_held
+                              ? held->value("config_version", std::uint64_t{0})
+                              : std::uint64_t{0};
     if (is_held && in_force <= it.version)
         return std::nullopt;
     // Another operator may have replaced or deleted it meanwhile.
-    const auto current = operate::read_current(to, path_of(it.kind, it.name));
-    if (current && is_held && current->version >= in_force)
-        return std::nullopt;
-    if (current && !is_held && current->version == 0)
+    const auto current = read_version(to, it.kind, it.name);
+    if (current && (is_held ? *current >= in_force : *current == 0))
         return std::nullopt;
     return it.kind + " " + it.name + " is written as version " +
-           std::to_string(it.version) + " and not in force: " +
-           (is_held ? "version " + std::to_string(in_force) : "its deletion") +
+           std::to_string(model::store_version(it.version)) +
+           " and not in force: " +
+           (is_held
+                ? "version " + std::to_string(model::store_version(in_force))
+                : "its deletion") +
            " stays in force, which the platform's store has lost";
 }
 
@@ -188,10 +210,11 @@
 int wait_in_force(const client& to, const std::vector<written_resource>& all,
                   base::milliseconds most)
 {
-    const auto version =
-        all.empty()
-            ? 0
-            : std::ranges::max(all, {}, &written_resource::version).version;
+    std::uint64_t version = 0;
+    for (const auto& it : all)
+        version = std::max(version, it.version);
+    const auto version_text =
+        "version " + std::to_string(model::store_version(version));
     const auto due = std::chrono::steady_clock::now() + most;
     std::string lagging;
     do
@@ -205,8 +228,7 @@
         const auto in = json::parse(reply->body);
         if (in.contains("platform_older") &&
             version <= in["platform_older"].value("in_force", version))
-            return complain("version " + std::to_string(version) +
-                            " is written and not in force: " +
+            return complain(version_text + " is written and not in force: " +
                             older_store_line(in["platform_older"]));
         for (const auto& it : in["vms"])
         {
@@ -218,14 +240,13 @@
         {
             if (const auto found = find_newer_in_force(to, all))
                 return complain(*found);
-            std::cout << "version " << version << " is in force on " << n
-                      << " of " << n << " VMs\n";
+            std::cout << version_text << " is in force on " << n << " of " << n
+                      << " VMs\n";
             return EXIT_SUCCESS;
         }
         std::this_thread::sleep_for(poll_period);
     } while (std::chrono::steady_clock::now() < due);
-    return complain("version " + std::to_string(version) +
-                    " is not in force yet on:" + lagging);
+    return complain(version_text + " is not in force yet on:" + lagging);
 }
 
 int apply(const client& to, const daemon::settings& s)
@@ -257,6 +278,9 @@
     }
     if (!s.flag("wait"))
         return EXIT_SUCCESS;
+    for (auto& it : written)
+        it.version = std::max(it.version,
+                              read_version(to, it.kind, it.name).value_or(0));
     return wait_in_force(to, written, base::milliseconds(s.number("wait-ms")));
 }
 
@@ -394,11 +418,12 @@
         const auto in = json::parse(reply->body);
         for (const auto& it : in["items"])
             now[it.value("kind", "") + " " + it.value("name", "")] =
-                it.value("version", std::uint64_t{0});
+                it.value("config_version", std::uint64_t{0});
         for (const auto& [key, version] : now)
             if (seen[key] != version)
                 std::cout << (first ? "has " : "changed ") << key
-                          << ", version " << version << "\n"
+                          << ", version " << model::store_version(version)
+                          << "\n"
                           << std::flush;
         for (const auto& [key, version] : seen)
             if (version != 0 && !now.contains(key))
--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -312,6 +312,35 @@
     STRCMP_CONTAINS("and not in force", it.text.c_str());
 }
 
+// Guards against CONFIG of 2026-12-04 for mimosad, on processes: what was
+// applied after the store came back from a copy was in force nowhere.
+TEST(operators, an_apply_after_a_copy_is_in_force)
+{
+    process_fleet fleet(plan_at(1180));
+    CHECK(fleet.serving());
+    const auto change_platform = [&fleet](const char* what)
+    {
+        return process_fleet::call(fleet.platform(), "POST", "/standin/faults",
+                                   json{{what, true}}.dump())
+            .status;
+    };
+    LONGS_EQUAL(200, change_platform("copy"));
+    for (const int ms : {410, 420, 430})
+        LONGS_EQUAL(0, ctl(fleet, 0,
+                           {"apply", "--wait", "--file",
+                            write_search(fleet, "before", ms)})
+                           .code);
+    LONGS_EQUAL(200, change_platform("restore"));
+    const auto it =
+        ctl(fleet, 2,
+            {"apply", "--wait", "--file", write_search(fleet, "after", 440)});
+    STRCMP_CONTAINS("is in force on 3 of 3 VMs", it.text.c_str());
+    LONGS_EQUAL(0, it.code);
+    for (int n = 0; n < fleet.vm_count(); ++n)
+        STRCMP_CONTAINS(
+            "440", ctl(fleet, n, {"list", "search", "--json"}).text.c_str());
+}
+
 TEST(operators, an_unchanged_apply_waits_for_the_version_that_is_there)
 {
     const process_fleet fleet(plan_at(1140));
--- a/unittests/fleet/agent_property_test.cpp
+++ b/unittests/fleet/agent_property_test.cpp
@@ -78,6 +78,8 @@
     {
         if (it.target % 2 == 0)
             saved_ = all.platform.objects;
+        else if (states_era && saved_version_ == 0)
+            return;
         else
             restore();
         saved_version_ = it.target % 2 == 0 ? all.platform.version : 0;
@@ -173,6 +175,7 @@
     }
 
     virtual_fleet all;
+    bool states_era = false; ///< the platform states in which era it is
 
 private:
     static bool inside(const action& it, std::size_t n)
@@ -184,6 +187,10 @@
     {
         all.platform.objects = saved_;
         all.platform.version = saved_version_;
+        if (!states_era)
+            return;
+        ++all.platform.era;
+        all.platform.since = saved_version_;
     }
 
     std::vector<wire::view_entry> listed_;
@@ -268,69 +275,83 @@
 
 } // namespace
 
-TEST_GROUP(agent_properties){};
+TEST_GROUP(agent_properties){
+    // Checks that versions only grow, and that all VMs end with the same
+    // objects. A platform that states no era is believed only once its versions
+    // have passed those of before.
+    static void check_configuration(const std::vector<action>& actions,
+                                    bool states_era){chaos world(2);
+world.states_era = states_era;
+version_monitor versions;
+const auto check = [&] { versions.check(world.all); };
+world.all.loss = 0.1;
+world.all.duplicate = 0.1;
+world.all.start_all();
+for (const auto& it : actions)
+{
+    switch (it.kind % 10)
+    {
+    case 0:
+    case 1:
+        world.change_configuration(it);
+        break;
+    case 2:
+        world.toggle_platform();
+        break;
+    case 3:
+        world.save_or_restore(it);
+        break;
+    case 4:
+        world.isolate(it);
+        break;
+    case 5:
+        world.heal();
+        break;
+    case 6:
+        world.restart(it);
+        break;
+    case 7:
+        world.cut_one_way(it);
+        break;
+    case 8:
+        world.restart_in_an_outage(it, check);
+        break;
+    default:
+        world.pause_or_resume(it);
+    }
+    world.all.run(base::milliseconds(it.pause_ms), check);
+}
+world.mend_everything();
+if (!states_era)
+    world.all.platform.version += 1000;
+world.all.platform.put("search", "last", search_value("last", 9));
+world.all.changed();
+world.all.run(base::seconds(40), check);
+const auto& first = *world.all.members[0].agent;
+RC_ASSERT(first.catalog().find_search("last") != nullptr);
+for (const auto& it : world.all.members)
+{
+    RC_ASSERT(it.agent->store().through() == first.store().through());
+    RC_ASSERT(it.agent->store().fingerprint() == first.store().fingerprint());
+}
+}
+}
+;
 
 TEST(agent_properties, configuration_never_reverts_and_converges)
 {
-    CHECK(rc::check(
-        "versions only grow, and all VMs end with the same objects",
-        [](const std::vector<action>& actions)
-        {
-            chaos world(2);
-            version_monitor versions;
-            const auto check = [&] { versions.check(world.all); };
-            world.all.loss = 0.1;
-            world.all.duplicate = 0.1;
-            world.all.start_all();
-            for (const auto& it : actions)
-            {
-                switch (it.kind % 10)
-                {
-                case 0:
-                case 1:
-                    world.change_configuration(it);
-                    break;
-                case 2:
-                    world.toggle_platform();
-                    break;
-                case 3:
-                    world.save_or_restore(it);
-                    break;
-                case 4:
-                    world.isolate(it);
-                    break;
-                case 5:
-                    world.heal();
-                    break;
-                case 6:
-                    world.restart(it);
-                    break;
-                case 7:
-                    world.cut_one_way(it);
-                    break;
-                case 8:
-                    world.restart_in_an_outage(it, check);
-                    break;
-                default:
-                    world.pause_or_resume(it);
-                }
-                world.all.run(base::milliseconds(it.pause_ms), check);
-            }
-            world.mend_everything();
-            world.all.platform.version += 1000;
-            world.all.platform.put("search", "last", search_value("last", 9));
-            world.all.changed();
-            world.all.run(base::seconds(40), check);
-            const auto& first = *world.all.members[0].agent;
-            RC_ASSERT(first.catalog().find_search("last") != nullptr);
-            for (const auto& it : world.all.members)
-            {
-                RC_ASSERT(it.agent->store().through() ==
-                          first.store().through());
-                RC_ASSERT(it.agent->store().fingerprint() ==
-                          first.store().fingerprint());
-            }
-        }));
+    CHECK(rc::check("versions only grow, and all VMs end with the same objects",
+                    [](const std::vector<action>& actions)
+                    { check_configuration(actions, false); }));
+}
+
+// Guards against CONFIG of 2026-12-04 for mimosad, with copies among other
+// faults: a change after the last one must be in force at its version.
+TEST(agent_properties, changes_after_copies_are_in_force_if_eras_are_stated)
+{
+    CHECK(rc::check("the last change is in force, and none reverts",
+                    [](const std::vector<action>& actions)
+                    { check_configuration(actions, true); }));
 }
 
 TEST(agent_properties, owners_stay_within_a_servers_limits)
--- a/unittests/fleet/virtual_fleet.hpp
+++ b/unittests/fleet/virtual_fleet.hpp
@@ -59,6 +59,8 @@
     std::uint64_t version = 0;
     std::vector<wire::view_entry> vms;
     std::uint64_t vms_version = 1;
+    std::uint64_t era = 0;   ///< how often it came back from a copy
+    std::uint64_t since = 0; ///< version of the latest copy
     bool down = false;
 
     std::uint64_t put(const std::string& kind, const std::string& name,
@@ -90,7 +92,10 @@
                                 {"version", it.version},
                                 {"deleted", it.deleted},
                                 {"value", it.value}});
-        return nlohmann::json{{"version", version}, {"objects", list}}.dump();
+        nlohmann::json out = {{"version", version}, {"objects", list}};
+        if (era > 0)
+            out.update({{"era", era}, {"since", since}});
+        return out.dump();
     }
 
     std::string list(std::uint64_t after) const
--- a/unittests/fleet/watch_cursor_test.cpp
+++ b/unittests/fleet/watch_cursor_test.cpp
@@ -80,6 +80,13 @@
         all.platform.version = 1;
     }
 
+    void restore_stating_era()
+    {
+        restore();
+        ++all.platform.era;
+        all.platform.since = all.platform.version;
+    }
+
     const fleet::agent& agent() const
     {
         return *all.members[0].agent;
@@ -126,6 +133,49 @@
     LONGS_EQUAL(300, deadline_in_force());
 }
 
+// Guards against CONFIG of 2026-12-04 for mimosad: after the platform came back
+// from a copy, a change that it acknowledged at a version given out before was
+// not in force.
+TEST(older_platform, a_change_at_a_version_used_before_a_copy_is_taken)
+{
+    restore_stating_era();
+    all.platform.put("search", "s", search_value("s", 300));
+    all.changed();
+    all.run(seconds(5));
+    LONGS_EQUAL(300, deadline_in_force());
+}
+
+// Guards against CONFIG of 2026-12-04 for mimosad: by its next call, the
+// versions may have passed the one that it knows.
+TEST(older_platform, changes_of_a_later_era_are_all_taken)
+{
+    restore_stating_era();
+    auto other = search_value("s", 50);
+    other["name"] = "t";
+    all.platform.put("search", "t", other);
+    all.platform.put("search", "s", search_value("s", 300));
+    all.changed();
+    all.run(seconds(5));
+    LONGS_EQUAL(300, deadline_in_force());
+    CHECK(agent().catalog().find_search("t") != nullptr);
+}
+
+// Guards against CONFIG of 2026-12-04 for mimosad: what a copy holds in an
+// older version must not come back into force.
+TEST(older_platform, an_older_object_from_a_copy_is_not_taken)
+{
+    restore_stating_era();
+    all.changed();
+    all.run(seconds(10));
+    LONGS_EQUAL(1, events[core::event_id::platform_older]);
+    LONGS_EQUAL(200, deadline_in_force());
+    restore_stating_era();
+    all.platform.put("search", "s", search_value("s", 300));
+    all.changed();
+    all.run(seconds(5));
+    LONGS_EQUAL(300, deadline_in_force());
+}
+
 TEST(older_platform, changes_of_a_store_that_grew_unseen_are_all_taken)
 {
     restore();
