A server's answer that announces a huge body no longer ends the VM

Callers of a VM lost all requests that it held: mimosa-entry ended with std::bad_alloc when a server's answer announced a body of bytes and the first bytes of it came in the same read as the head. With smaller lengths beyond the limit of 8 MB the exchange went on until its deadline in place of being refused. Cause: Beast's eager parser goes on after the error body_limit: it takes the next step, which reserves the announced length and clears the error. Tests of the limit sent the head alone, and then the parser stops. Fix: the client's parser is not eager; the loop around it feeds it step by step anyway, and so sees the error. Requests of callers were refused before as well (413): the test of the server now sends bytes of the body too, and passed at once.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -152,7 +152,9 @@
 {
     parser_.emplace();
     parser_->body_limit(owner_->options.body_bytes);
-    parser_->eager(true);
+    // An eager parser reserves the announced length of a body although it
+    // exceeds the limit.
+    parser_->eager(false);
     parser_->skip(is_head_);
 }
 
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -242,6 +242,27 @@
     }
 }
 
+// Guards against a VM that ends by itself: the length that a server announces
+// was reserved if bytes of the body came with the head, whatever the limit.
+TEST(client, a_body_announced_beyond_the_limit_is_refused)
+{
+    http::exchange_number n = 0;
+    for (const auto* length :
+         {"8388609", "99999999999", "18446744073709551615"})
+    {
+        loop_peer peer{io};
+        peer.accept(acceptor);
+        client.send(++n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+        CHECK(run_until(io, [&] { return !peer.got().empty(); }));
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) +
+                  "\r\n\r\nbody");
+        CHECK(run_until(io, [&] { return failures.contains(n); }));
+        CHECK(failures.at(n) == exchange_failure::malformed);
+        CHECK(run_until(io, [&] { return peer.ended(); }));
+        peer.close();
+    }
+}
+
 // Guards against the memory of a VM running out while many servers send bytes
 // without end at once.
 TEST(client, the_bytes_of_all_exchanges_that_go_on_are_bounded)
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -104,7 +104,12 @@
         {"GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(500, 'x') +
              "\r\n\r\n",
          " 431 "},
-        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", " 413 "}};
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", " 413 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\nbody",
+         " 413 "},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n"
+         "body",
+         " 413 "}};
     for (const auto& [bytes, status] : cases)
     {
         loop_peer other{io};
