mimosad's HTTP client bounds heads, chunk sizes and interim replies

Callers saw nothing. A server in trouble could send a head or a chunk's size without end; mimosad read it for as long as it came, up to the deadline of the call, and kept it: a test with 64 MB took 71 MB of memory, of 128 MB that a node may use. Cause: cxxtools' client, on which net/http_client stood, bounds no head and shows nothing of it before it is complete. Fix: the client uses the sockets of cxxtools, as the links between VMs do, and the parser of Beast: 64 KiB for a head, 16 MB for a body, 20 MB for all that comes for one exchange, beyond which the call ends with too_large and the connection is closed. A connection on which bytes come that no request asked for is closed too; a body that ends with its connection is whole only then. No request is sent a second time by the client any more.

--- a/include/mimosacroft/net/http_client.hpp
+++ b/include/mimosacroft/net/http_client.hpp
@@ -19,9 +19,9 @@
 struct call_options
 {
     base::instant deadline;
-    /// Opens a connection for this call alone. The library sends a request
-    /// again when a kept connection turns out to be closed, so a request that
-    /// may not be repeated needs a fresh one.
+    /// Opens a connection for this call alone. The server may close a kept
+    /// connection while a request is on its way; whether that has run is then
+    /// unknown, so a request that may not be repeated needs a fresh one.
     bool fresh_connection = false;
 };
 
@@ -38,8 +38,9 @@
     /// Sends a request to `address` ("ip:port") and calls `fn` once, from the
     /// loop: with the reply, or with an error whose code is `unreachable` when
     /// the connection never came up, `broken` when it failed later, `timeout`
-    /// at the deadline. A connection whose exchange failed, timed out or was
-    /// abandoned is closed and never used again.
+    /// at the deadline, `too_large` when more comes than a reply may have. No
+    /// request is sent twice. A connection whose exchange failed, timed out or
+    /// was abandoned is closed and never used again.
     std::uint64_t call(const std::string& address,
                        const wire::http_request& request, call_options options,
                        on_reply fn);
