mimosad: changes to the list of VMs name the list they apply to, not its version alone

Callers could wait at a server that had more slots in use than it has: 3 of 2, since two owners worked with different lists of VMs of the same version. Cause: a pushed change named its base by version. A list that comes back older (a store restored from a copy) gives versions out again, and a VM that held another list of that version applied the change to it: a third list that no platform ever gave out. Fix: a push carries the fingerprint of the whole list that results. A VM whose own result differs drops it and asks for the whole list.

--- a/include/mimosacroft/fleet/view.hpp
+++ b/include/mimosacroft/fleet/view.hpp
@@ -34,6 +34,8 @@
     std::uint64_t version() const { return version_; }
     const std::vector<wire::view_entry>& entries() const { return entries_; }
     const wire::view_entry* find(const std::string& vm) const;
+    /// A hash of the entries; equal lists have equal fingerprints.
+    std::uint64_t fingerprint() const;
 
     /// The VMs of a data centre that are not leaving.
     std::vector<std::string> members_of(const std::string& data_centre) const;
@@ -47,9 +49,12 @@
 
     std::vector<std::string> data_centres() const;
 
-    /// What changed since an older view; and this view with such a change.
+    /// The whole list, or what changed since an older view.
+    wire::view_push to_push() const;
     wire::view_push changes_since(const view& older) const;
-    view changed_by(const wire::view_push& delta) const;
+    /// This view with such a change; nothing if the change was made for another
+    /// list.
+    std::optional<view> changed_by(const wire::view_push& delta) const;
 
     /// The owners of an upstream: VMs of its data centre with the highest
     /// rendezvous weights, at most one for each slot and at most max_owners.
--- a/include/mimosacroft/wire/messages.hpp
+++ b/include/mimosacroft/wire/messages.hpp
@@ -226,7 +226,10 @@
     std::vector<view_entry> entries; ///< all, or new and changed ones
     std::uint64_t base = 0;          ///< 0 for a whole list
     std::vector<std::string> removed;
-    MSGPACK_DEFINE_ARRAY(version, entries, base, removed)
+    /// Of the whole list. Two lists may have one version when the platform's
+    /// list came back older; changes to one make no sense for the other.
+    std::uint64_t fingerprint = 0;
+    MSGPACK_DEFINE_ARRAY(version, entries, base, removed, fingerprint)
 };
 
 /// The sender's process stops: it finishes what it has and takes no new
--- a/lib/fleet/agent.cpp
+++ b/lib/fleet/agent.cpp
@@ -316,16 +316,23 @@
 {
     if (msg.version <= view_.version())
         return;
-    if (msg.base != 0 && msg.base != view_.version())
+    std::optional<fleet::view> next;
+    if (msg.base == 0)
+        next.emplace(msg.version, msg.entries);
+    else if (msg.base == view_.version())
+        next = view_.changed_by(msg);
+    if (!next)
     {
-        // A digest with the version held gets what is missing.
+        // A digest with the version held gets what is missing, and one without
+        // a version the whole list.
+        auto ask = make_digest(0, true, now);
+        if (msg.base == view_.version())
+            ask.view_version = 0;
         if (!from.empty())
-            send(from, make_digest(0, true, now), out);
+            send(from, std::move(ask), out);
         return;
     }
-    take_view(msg.base == 0 ? fleet::view(msg.version, msg.entries)
-                            : view_.changed_by(msg),
-              now, out);
+    take_view(std::move(*next), now, out);
     if (!from.empty())
         push_view(from, out);
     sync_ownership(now);
@@ -412,7 +419,7 @@
         std::ranges::find(older_views_, version, &fleet::view::version);
     if (older != older_views_.end())
         return view_.changes_since(*older);
-    return {view_.version(), view_.entries(), 0, {}};
+    return view_.to_push();
 }
 
 // A VM that learns its first view is the one that was behind.
--- a/lib/fleet/view.cpp
+++ b/lib/fleet/view.cpp
@@ -34,6 +34,15 @@
     return it != entries_.end() && it->vm == vm ? &*it : nullptr;
 }
 
+std::uint64_t view::fingerprint() const
+{
+    std::uint64_t out = 0;
+    for (const auto& it : entries_)
+        out += base::stable_hash({it.vm, it.data_centre, it.peer_address,
+                                  it.leaving ? "leaving" : ""});
+    return out;
+}
+
 std::vector<std::string> view::members_of(const std::string& data_centre) const
 {
     std::vector<std::string> out;
@@ -69,10 +78,16 @@
     return {out.begin(), out.end()};
 }
 
+wire::view_push view::to_push() const
+{
+    return {version_, entries_, 0, {}, fingerprint()};
+}
+
 wire::view_push view::changes_since(const view& older) const
 {
     wire::view_push out;
     out.version = version_;
+    out.fingerprint = fingerprint();
     out.base = older.version();
     for (const auto& entry : entries_)
     {
@@ -86,7 +101,7 @@
     return out;
 }
 
-view view::changed_by(const wire::view_push& delta) const
+std::optional<view> view::changed_by(const wire::view_push& delta) const
 {
     const std::set<std::string> removed(delta.removed.begin(),
                                         delta.removed.end());
@@ -99,7 +114,10 @@
     std::vector<wire::view_entry> entries;
     for (const auto& [vm, entry] : all)
         entries.push_back(entry);
-    return {delta.version, std::move(entries)};
+    view out(delta.version, std::move(entries));
+    if (out.fingerprint() != delta.fingerprint)
+        return std::nullopt;
+    return out;
 }
 
 std::vector<std::string> view::owners_of(const model::upstream& it) const
--- a/unittests/fleet/older_list_test.cpp
+++ b/unittests/fleet/older_list_test.cpp
@@ -140,3 +140,37 @@
     all.run(seconds(30));
     LONGS_EQUAL(4, using_list_of(3));
 }
+
+// Guards against a third list that no platform gave out: after a list came back
+// older, two lists have one version, and changes to one were applied to the
+// other. VMs then used more of a server than its limits.
+TEST(older_list, changes_to_another_list_of_its_version_are_not_applied)
+{
+    auto other = full;
+    other.erase(other.begin());
+    const fleet::view before(11, other);
+    other.pop_back();
+    const fleet::view after(12, other);
+    const auto changes = after.changes_since(before);
+    CHECK(before.changed_by(changes)->entries() == other);
+    CHECK_FALSE(fleet::view(11, full).changed_by(changes).has_value());
+    // A VM with the other list asks for the whole one.
+    all.with(0,
+             [&](fleet::agent& agent, core::effects& out)
+             {
+                 auto push = changes;
+                 push.base = agent.view().version();
+                 push.version = push.base + 1;
+                 agent.on_message(all.members[1].options.vm,
+                                  all.members[1].options.incarnation, push,
+                                  all.now, out);
+                 LONGS_EQUAL(version_before, agent.view().version());
+                 bool asked = false;
+                 for (const auto& it : out)
+                     if (const auto* to = std::get_if<core::send_peer>(&it))
+                         if (const auto* msg =
+                                 std::get_if<wire::digest>(&to->msg))
+                             asked = asked || msg->view_version == 0;
+                 CHECK(asked);
+             });
+}
