One odd entry in the store no longer hides the others or ends the VM

Cause: a page of a list or a watch was parsed and decoded as one. A number beyond a double, bytes that are no UTF-8, or an object without a readable name made the whole page an error, so the VM followed the list no more; a value nested 100,000 deep ended the process, since it was written out again recursively. Large numbers were converted beyond their range, and 10.0.0.999:80 was taken for an address.

--- a/include/mimosacroft/base/text.hpp
+++ b/include/mimosacroft/base/text.hpp
@@ -27,6 +27,9 @@
 /// port is not looked at.
 bool is_address(std::string_view text);
 
+/// Whether a text is an IPv4 address and a port from 1 to 65535.
+bool is_ipv4_address(std::string_view text);
+
 } // namespace mimosacroft::base
 
 #endif
--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -34,6 +34,8 @@
         std::function<void(std::uint64_t era)> on_new_era = [](auto) {};
         /// A call to the store failed, not one to another VM; `text` tells why.
         std::function<void(const std::string& text)> on_failure;
+        /// So many objects have no readable name and were left out.
+        std::function<void(std::size_t count)> on_unreadable = [](auto) {};
         /// A call ended: the cache may have changes to serve to other VMs, and
         /// the next call may be due.
         std::function<void()> on_call_ended = [] {};
--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -8,6 +8,7 @@
 #include "mimosacroft/base/time.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -39,8 +40,9 @@
 struct object_batch
 {
     std::vector<object_change> changes;
-    store_position position; ///< of the store; the next watch starts here
-    bool has_more = false;   ///< list only: another page follows
+    store_position position;    ///< of the store; the next watch starts here
+    bool has_more = false;      ///< list only: another page follows
+    std::size_t unreadable = 0; ///< objects without a readable name, left out
 };
 
 enum class follow_step
--- a/lib/base/text.cpp
+++ b/lib/base/text.cpp
@@ -1,7 +1,10 @@
 // Small readings of text that several parts share.
 #include "mimosacroft/base/text.hpp"
 
+#include <arpa/inet.h>
 #include <charconv>
+#include <netinet/in.h>
+#include <string>
 
 namespace mimosacroft::base
 {
@@ -51,4 +54,13 @@
     return port.size() <= max_port_digits && n && *n >= 1 && *n <= max_port;
 }
 
+bool is_ipv4_address(std::string_view text)
+{
+    if (!is_address(text))
+        return false;
+    const std::string host(text.substr(0, text.rfind(':')));
+    in_addr buf{};
+    return inet_pton(AF_INET, host.c_str(), &buf) == 1;
+}
+
 } // namespace mimosacroft::base
--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -99,6 +99,13 @@
     out.on_new_era = [this](std::uint64_t era) { on_new_era(era); };
     out.on_failure = [this, name = std::string(kind)](const std::string& text)
     { on_failure(name, text); };
+    out.on_unreadable = [this, name = std::string(kind)](std::size_t count)
+    {
+        log_.write({event_id::object_refused,
+                    {{"peer", "store"},
+                     {"reason", name + ": " + std::to_string(count) +
+                                    " objects have no readable name"}}});
+    };
     out.on_call_ended = [this, name = std::string(kind)]
     { handlers_.on_call_ended(name); };
     return out;
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -183,6 +183,8 @@
 void store_watch::apply_batch(const spread_answer& answer, base::instant now)
 {
     const auto& batch = answer.batch;
+    if (batch.unreadable > 0)
+        handlers_.on_unreadable(batch.unreadable);
     const auto before = follower_.position().era;
     const bool was_complete = is_complete();
     const auto list = follower_.on_batch(batch, now);
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -121,6 +121,37 @@
     CHECK(failures.at(1) == exchange_failure::malformed);
 }
 
+// Guards against a server that stops in the middle of its answer's head and
+// closes: callers got 200 with an empty or short body, framed as whole.
+TEST(client, an_answer_that_ends_within_its_head_is_never_a_success)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string status = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    http::exchange_number number = 0;
+    for (const auto& before : {std::string(), interim})
+        for (const auto* rest : {"Content-Length: 2\r\n\r\n",
+                                 "Transfer-Encoding: chunked\r\n\r\n", "\r\n"})
+        {
+            const auto head = status + rest;
+            for (std::size_t n = 0; n < head.size(); ++n)
+            {
+                loop_peer one{io};
+                one.accept(acceptor);
+                client.send(++number, at, {"GET", "/a", {}, ""});
+                CHECK(run_until(io, [&] { return !one.got().empty(); }));
+                one.send(before + head.substr(0, n));
+                one.close();
+                wait_for(number);
+                CHECK_EQUAL(1, failures.count(number));
+                CHECK_EQUAL(0, replies.count(number));
+            }
+        }
+    // The next exchange has a connection and an answer of its own.
+    exchange(++number, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(number);
+    STRCMP_EQUAL("ok", replies.at(number).body.c_str());
+}
+
 TEST(client, a_reset_before_the_answer_is_a_loss)
 {
     peer.accept(acceptor);
--- a/unittests/platform/store_test.cpp
+++ b/unittests/platform/store_test.cpp
@@ -1,8 +1,11 @@
 // Tests of encoding and decoding the messages and objects of the platform's
 // store, on made-up examples.
+#include "platform/json_reader.hpp"
 #include "platform/store.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace mimosacroft;
 using gateway::follow_step;
@@ -31,6 +34,60 @@
 
 } // namespace
 
+namespace
+{
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Objects that name no server to use: what another writer may leave.
+std::vector<std::string> odd_objects()
+{
+    const auto with = [](const std::string& fields)
+    {
+        return R"({"meta":{"name":"odd"},"spec":{"service":"p","zone":"z",)"
+               R"("state":"ready",)" +
+               fields + "}}";
+    };
+    const std::string address = R"("addr":"10.0.0.9:80")";
+    std::vector<std::string> out{
+        "7",
+        "null",
+        "[]",
+        "{}",
+        R"({"meta":{"name":5},"spec":{}})",
+        R"({"meta":{"name":"odd"},"spec":)" + nested(100'000) + "}",
+        R"({"meta":{"name":"odd"},"spec":"\ud800"})",
+        with(R"("addr":)" + nested(100'000)),
+        with(address + R"(,"state":)" + nested(1'000'000)),
+        with(address + R"(,"born":1e999)"),
+        with(address + R"(,"born":-1e999)"),
+        with(address + R"(,"born":1e300)"),
+        with(address + R"(,"born":99999999999999999999999999)"),
+        with(address + R"(,"born":18446744073709551615)"),
+        with(address + R"(,"born":"5")"),
+        with(address + R"(,"capacity":1e999)"),
+        with(address + R"(,"capacity":-1)"),
+        with(address + R"(,"capacity":18446744073709551615)"),
+        with(address + R"(,"warmupLeftMs":1e999)"),
+        with(address + R"(,"state":")" + std::string(2'000'000, 'x') + "\""),
+        with(address + ",\"state\":\"\xff\xfe\""),
+        with(address + ",\"state\":\"a\nb\""),
+        with(address + R"(,"service":5)"),
+        with(R"("addr":5)")};
+    for (const char* it :
+         {"10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:65536", "10.0.0.9:http",
+          "10.0.0.9:99999999999999999999", "10.0.0.9:8e1", "10.0.0.9",
+          "10.0.0.999:80", "10.0.0:80", "nowhere:80", ":80", "",
+          "10.0.0.9:80:80", "10.0.0.9: 80"})
+        out.push_back(with(R"("addr":")" + std::string(it) + "\""));
+    return out;
+}
+
+} // namespace
+
 TEST_GROUP(store){};
 
 TEST(store, list_and_watch_requests_name_the_kind_and_the_position)
@@ -137,6 +194,78 @@
         CHECK_FALSE(platform::decode_server_entry(server(text)).has_value());
 }
 
+// Guards against processes that end, or no longer follow the list, because of
+// one odd entry that another writer left among those of the servers.
+TEST(store, one_odd_entry_does_not_hide_the_others)
+{
+    const std::string good =
+        R"({"meta":{"name":"good"},"spec":{"service":"p","zone":"z",)"
+        R"("addr":"10.0.0.9:80","state":"ready","born":5}})";
+    for (const auto& odd : odd_objects())
+    {
+        const auto list = platform::decode_batch(
+            follow_step::list, {200,
+                                {},
+                                R"({"items":[)" + good + "," + odd + "," +
+                                    good + R"(],"storeRevision":7})"});
+        const auto watch = platform::decode_batch(
+            follow_step::watch,
+            {200,
+             {},
+             R"({"events":[{"object":)" + odd + R"(},{"object":)" + good +
+                 R"(}],"storeRevision":7})"});
+        for (const auto* batch : {&list, &watch})
+        {
+            CHECK_TEXT(batch->has_value(), odd.substr(0, 200).c_str());
+            const auto& last = (*batch)->changes.back();
+            STRCMP_EQUAL("good", last.name.c_str());
+            CHECK(platform::decode_server_entry(last).has_value());
+            for (const auto& it : (*batch)->changes)
+            {
+                platform::decode_order(platform::servers_kind, it.content);
+                const auto entry = platform::decode_server_entry(it);
+                CHECK_TEXT(entry.has_value() == (it.name == "good"),
+                           odd.substr(0, 200).c_str());
+                if (!entry)
+                    CHECK(entry.error().text.size() < 400);
+            }
+        }
+    }
+}
+
+TEST(store, odd_values_in_a_configuration_are_an_error_or_bounded)
+{
+    const auto with = [](const std::string& value)
+    {
+        return platform::decode_catalog(
+            R"({"version":3,"services":[],"limits":{"idleTimeoutMs":)" + value +
+            R"(},"routes":[]})");
+    };
+    CHECK(with("1e300")->limits().idle_timeout <=
+          base::milliseconds(86'400'000));
+    CHECK_FALSE(with("1e999").has_value());
+    CHECK_FALSE(with(nested(100'000)).has_value());
+    CHECK_FALSE(with("\"\xff\"").has_value());
+}
+
+TEST(store, whatever_bytes_an_entry_holds_the_reader_goes_on)
+{
+    CHECK(rc::check(
+        [](const std::string& bytes)
+        {
+            const auto text = platform::without_unusual_values(bytes);
+            const auto parsed = nlohmann::json::parse(text, nullptr, false);
+            // What is JSON stays JSON with the same meaning.
+            const auto before = nlohmann::json::parse(bytes, nullptr, false);
+            RC_ASSERT(before.is_discarded() || before == parsed);
+            const nlohmann::json quoted = {
+                {"k", nlohmann::json::parse(nlohmann::json(bytes).dump(
+                          -1, ' ', false,
+                          nlohmann::json::error_handler_t::replace))}};
+            RC_ASSERT(platform::parse_tolerantly(quoted.dump()) == quoted);
+        }));
+}
+
 TEST(store, an_encoded_vm_entry_is_decoded_unchanged)
 {
     const gateway::vm_entry vm{"vm 1", "10.0.0.3:70", "z", 4};
