Servers that say that they leave, or want a pause, are believed

Tests: statements.* and messages.*; in the soak a server that leaves says so and comes back as a new incarnation, and one that refuses wants a pause of 2 s, which a check counts.

--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -95,6 +95,39 @@
     CHECK_FALSE(platform::decode_reply({200, {}, ""}).rate_limit.has_value());
 }
 
+TEST(messages, a_server_that_leaves_says_so)
+{
+    const auto is_leaving = [](unsigned status, const char* text)
+    {
+        return platform::decode_reply({status, {{"Server-Leaving", text}}, ""})
+            .leaving;
+    };
+    CHECK(is_leaving(200, "1"));
+    CHECK(is_leaving(503, "1"));
+    for (const auto* text : {"", "0", "yes", "11"})
+        CHECK_FALSE(is_leaving(200, text));
+    CHECK_FALSE(platform::decode_reply({200, {}, ""}).leaving);
+}
+
+TEST(messages, a_servers_pause_is_decoded_and_a_malformed_one_ignored)
+{
+    const auto decode = [](unsigned status, const char* text)
+    { return platform::decode_reply({status, {{"Retry-After", text}}, ""}); };
+    CHECK(decode(503, "2").pause == base::milliseconds(2'000));
+    CHECK(decode(503, "0.2501").pause == base::milliseconds(251));
+    CHECK(decode(503, "0").pause == base::milliseconds(0));
+    // A day at most.
+    CHECK(decode(503, "1e300").pause == base::milliseconds(86'400'000));
+    for (const auto* text : {"", "-1", "nan", "inf", "1e999", "soon", "2 ",
+                             "Fri, 04 Dec 2026 07:28:00 GMT"})
+    {
+        CHECK_FALSE(decode(503, text).pause.has_value());
+        CHECK(decode(503, text).has_invalid_pause);
+    }
+    CHECK_FALSE(decode(200, "2").pause.has_value());
+    CHECK_FALSE(decode(429, "soon").has_invalid_pause);
+}
+
 TEST(messages, a_servers_reply_is_decoded)
 {
     auto success =
--- a/unittests/platform/standin_wire.cpp
+++ b/unittests/platform/standin_wire.cpp
@@ -111,6 +111,16 @@
     reply.headers.push_back({"Server-Limit", std::to_string(per_second)});
 }
 
+void state_leaving(http::response& reply)
+{
+    reply.headers.push_back({"Server-Leaving", "1"});
+}
+
+void state_pause(http::response& reply, base::seconds pause)
+{
+    reply.headers.push_back({"Retry-After", std::to_string(pause.count())});
+}
+
 http::response make_failure_reply(const received_request& to)
 {
     return {status_failed, {{id_header, to.id}}, "failed"};
--- a/unittests/platform/standin_wire.hpp
+++ b/unittests/platform/standin_wire.hpp
@@ -52,6 +52,10 @@
                                   std::string body);
 /// Adds the limit of requests per second that a server states.
 void state_limit(http::response& reply, double per_second);
+/// Adds that the server leaves.
+void state_leaving(http::response& reply);
+/// Adds to a refusal that the server wants no request for so long.
+void state_pause(http::response& reply, base::seconds pause);
 /// Encodes the failure, with status 500, of a request that ran.
 http::response make_failure_reply(const received_request& to);
 /// Encodes the refusal of a request that has not run and never will. `status`
--- a/unittests/soak/faults.cpp
+++ b/unittests/soak/faults.cpp
@@ -145,6 +145,8 @@
     const auto mode = draw_harm<server_mode>(random);
     const auto length = draw_time(random, longest_fault);
     it.set_mode(mode);
+    if (mode == server_mode::refuses)
+        in.note_refusing(it, length);
     in.after(length, [&it] { it.set_mode(server_mode::works); });
     return text_of(mode, length);
 }
--- a/unittests/soak/ledger.cpp
+++ b/unittests/soak/ledger.cpp
@@ -326,6 +326,37 @@
     }
 }
 
+// A server that refuses gets few requests of each VM before the VM knows, and
+// as few each time that its pause has ended.
+void ledger::check_pauses(std::vector<std::string>& out) const
+{
+    constexpr std::size_t most_at_once = 4;
+    std::set<std::size_t> vms;
+    for (const auto& it : callers)
+        vms.insert(it.vm);
+    for (const auto& [server, spans] : refusing)
+        for (const auto& span : spans)
+        {
+            if (!is_fleet_calm(span.from, span.to))
+                continue;
+            const auto got =
+                std::ranges::count_if(arrivals,
+                                      [&](const arrival_record& it)
+                                      {
+                                          return it.server == server &&
+                                                 span.from <= it.at &&
+                                                 it.at <= span.to;
+                                      });
+            const auto rounds =
+                1 + static_cast<std::size_t>((span.to - span.from) /
+                                             base::duration(soak_pause));
+            if (static_cast<std::size_t>(got) >
+                vms.size() * rounds * most_at_once)
+                out.push_back(server + " was sent " + std::to_string(got) +
+                              " requests while it wanted none");
+        }
+}
+
 std::vector<std::string> ledger::check() const
 {
     std::vector<std::string> out;
@@ -342,6 +373,7 @@
     check_probes(out);
     check_leaving(out);
     check_limits(out);
+    check_pauses(out);
     check_budget(out);
     return out;
 }
--- a/unittests/soak/ledger.hpp
+++ b/unittests/soak/ledger.hpp
@@ -53,6 +53,9 @@
 /// Requests per second that a server with a limit takes from all VMs together.
 inline constexpr double soak_limit = 3;
 
+/// For how long a server that refuses wants no further request from a VM.
+inline constexpr base::seconds soak_pause{2};
+
 /// Sixteen bytes each.
 std::string records_of(const std::string& service);
 std::string signature_of(const std::string& server, const std::string& request,
@@ -77,6 +80,8 @@
     std::map<std::string, std::vector<time_span>> leaving;
     /// When servers stated soak_limit, by id.
     std::map<std::string, std::vector<time_span>> limited;
+    /// When servers refused all requests, by id.
+    std::map<std::string, std::vector<time_span>> refusing;
     struct configuration_probe
     {
         std::size_t caller = 0; ///< its record
@@ -103,6 +108,7 @@
     void check_leaving(std::vector<std::string>& out) const;
     bool had_trouble(base::instant from, base::instant to) const;
     void check_limits(std::vector<std::string>& out) const;
+    void check_pauses(std::vector<std::string>& out) const;
     bool is_fleet_calm(base::instant from, base::instant to) const;
     void check_budget(std::vector<std::string>& out) const;
     std::string check_windows(const std::string& service,
--- a/unittests/soak/standin_server.cpp
+++ b/unittests/soak/standin_server.cpp
@@ -34,6 +34,14 @@
     entry_.address = text_of(link);
 }
 
+void standin_server::set_leaving(bool leaving)
+{
+    // It comes back as a new incarnation.
+    if (entry_.leaving && !leaving)
+        ++entry_.started_at;
+    entry_.leaving = leaving;
+}
+
 std::string standin_server::replace()
 {
     auto old = entry_.id;
@@ -56,7 +64,11 @@
     seen_.arrivals.push_back(
         {base::now(), question.id, entry_.service, entry_.id, runs});
     if (!runs)
-        answer(number, make_not_executed_reply(question, status_unavailable));
+    {
+        auto reply = make_not_executed_reply(question, status_unavailable);
+        state_pause(reply, soak_pause);
+        answer(number, std::move(reply));
+    }
     else if (mode_ == server_mode::fails)
         answer(number, make_failure_reply(question));
     else if (mode_ != server_mode::is_dark)
@@ -67,6 +79,8 @@
 {
     if (limit_ > 0)
         state_limit(reply, limit_);
+    if (entry_.leaving)
+        state_leaving(reply);
     server_.answer(number, reply);
 }
 
--- a/unittests/soak/standin_server.hpp
+++ b/unittests/soak/standin_server.hpp
@@ -19,7 +19,7 @@
     is_slow,
     is_dark, ///< runs requests and never answers
     fails,   ///< runs requests and answers 500
-    refuses  ///< runs nothing and says so
+    refuses  ///< runs nothing, says so, and wants nothing for soak_pause
 };
 
 class standin_server
@@ -34,7 +34,8 @@
     const gateway::server_entry& entry() const { return entry_; }
     proxy& link() { return link_; }
     void set_mode(server_mode mode) { mode_ = mode; }
-    void set_leaving(bool leaving) { entry_.leaving = leaving; }
+    /// While it leaves, its answers say so as well.
+    void set_leaving(bool leaving);
     /// The requests per second that its answers state as its limit; none: 0.
     void set_limit(double per_second) { limit_ = per_second; }
     /// Another server takes its address; gives the id that it had.
--- a/unittests/soak/world.cpp
+++ b/unittests/soak/world.cpp
@@ -343,6 +343,12 @@
     after(length, [&it] { it.set_limit(0); });
 }
 
+void world::note_refusing(const standin_server& it, milliseconds length)
+{
+    seen_.refusing[it.entry().id].push_back(
+        {base::now(), base::now() + length});
+}
+
 void world::restore_store(milliseconds age, milliseconds away)
 {
     if (std::exchange(restores_, true))
--- a/unittests/soak/world.hpp
+++ b/unittests/soak/world.hpp
@@ -61,6 +61,7 @@
     void set_leaving(std::size_t n, bool leaving);
     /// The server states a limit in its answers for a while.
     void limit_server(std::size_t n, base::milliseconds length);
+    void note_refusing(const standin_server& it, base::milliseconds length);
     /// After `age` the store fails, and after `away` more it comes back from a
     /// copy of now. Operators and servers then write again what they wrote.
     void restore_store(base::milliseconds age, base::milliseconds away);
