VMs are told of a request that ends its servers while others are still at work on it

Cause: a second caller's same request came 100 ms after the first, which ended the other replicas; the VMs were told only when the first request was closed, 120 ms after its start. Evidence: request_harmful of the first at 43.686 s, the second request's start at 43.661 s. Fix: the ledger learns at the third server that ended, and the VMs are told then. Test: crashes.other_vms_are_told_while_servers_are_still_at_work failed before.

--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -217,7 +217,8 @@
     void start_probe(query& q, base::instant now, effects& out);
     bool advance_probe(query& q, base::instant now, effects& out);
     void note_run(query& q, base::instant now, effects& out);
-    void note_crashes(const query& q, base::instant now, effects& out);
+    void note_server_ended(query& q, base::instant now, effects& out);
+    void note_crashes(query& q, base::instant now, effects& out);
 
     // What servers say of themselves, and what VMs tell each other of it.
     void note_statements(server& from, const server_reply& reply,
--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -267,11 +267,12 @@
     /// once they are enough.
     base::instant answer_by{};
     std::vector<part> parts;
-    std::size_t done = 0;       ///< number of parts in state done
-    std::size_t failed = 0;     ///< number of parts in state failed
-    std::size_t open_sends = 0; ///< to servers, without a result yet
-    run_record record;          ///< of the sends from here
-    run_record remote_record;   ///< of the sends of another VM
+    std::size_t done = 0;        ///< number of parts in state done
+    std::size_t failed = 0;      ///< number of parts in state failed
+    std::size_t open_sends = 0;  ///< to servers, without a result yet
+    run_record record;           ///< of the sends from here
+    run_record remote_record;    ///< of the sends of another VM
+    std::size_t noted_ended = 0; ///< ended servers that the ledger knows of
     /// Until the first answer, no further hedge is sent before this time.
     base::instant next_early_hedge_at{};
     /// Sent to one server only, until that has answered, since servers ended
--- a/lib/gateway/gateway_crashes.cpp
+++ b/lib/gateway/gateway_crashes.cpp
@@ -110,16 +110,27 @@
         out.events.push_back(harmless_event(q, fingerprint));
 }
 
-// Called when a query is closed.
-void gateway::note_crashes(const query& q, instant now, effects& out)
+void gateway::note_server_ended(query& q, instant now, effects& out)
+{
+    ++q.record.ended;
+    // The other servers may take long to end, and meanwhile the same request
+    // may come to any VM.
+    if (q.total_record().ended >= max_ended_servers)
+        note_crashes(q, now, out);
+}
+
+// Called when a query is closed, at the latest.
+void gateway::note_crashes(query& q, instant now, effects& out)
 {
     const auto record = q.total_record();
-    if (record.answered > 0 || record.ended == 0)
+    if (record.answered > 0 || record.ended == q.noted_ended)
         return;
     const auto fingerprint = fingerprint_of(*q.request);
+    const auto count =
+        record.ended - std::exchange(q.noted_ended, record.ended);
     const bool is_news =
         q.is_probe ? crashes_.on_probe_ended(fingerprint, now)
-                   : crashes_.on_servers_ended(fingerprint, record.ended, now);
+                   : crashes_.on_servers_ended(fingerprint, count, now);
     if (!is_news)
         return;
     out.events.push_back(
--- a/unittests/gateway/crashes_test.cpp
+++ b/unittests/gateway/crashes_test.cpp
@@ -61,6 +61,36 @@
     LONGS_EQUAL(8, b.open("/all/other").sends.size());
 }
 
+// Guards against a second caller whose same request came while servers were
+// still at work on the first: it ended the other replicas.
+TEST(crashes, other_vms_are_told_while_servers_are_still_at_work)
+{
+    b.subject.set_fleet({{"near", "10.0.0.8:70", "a", 0},
+                         {"far-1", "10.0.0.9:70", "b", 0},
+                         {"far-2", "10.0.0.10:70", "b", 0}},
+                        4);
+    const auto first = b.open("/all/q");
+    for (std::size_t n = 0; n < 2; ++n)
+        CHECK(b.fail(first.sends[n].number, gateway::send_failure::lost)
+                  .news.empty());
+    const auto news =
+        b.fail(first.sends[2].number, gateway::send_failure::lost).news;
+    // The VMs of this data centre, and one of the other, which passes it on.
+    LONGS_EQUAL(2, news.size());
+    CHECK_FALSE(news[0].pass_on);
+    CHECK(news[1].pass_on);
+    LONGS_EQUAL(1, news[1].news.crashes.size());
+    // Here as well the next one is tried on one server.
+    LONGS_EQUAL(1, b.open("/all/q").sends.size());
+
+    gateway_harness other{{scattered(8)}};
+    other.add_shards(8);
+    gateway::effects out;
+    other.subject.on_news(news[0].news, false, other.now, out);
+    LONGS_EQUAL(1, other.open("/all/q").sends.size());
+    LONGS_EQUAL(8, other.open("/all/other").sends.size());
+}
+
 TEST(crashes, a_suspected_request_that_a_server_answers_goes_on_at_once)
 {
     lose(b.open("/all/q"));
