--- a/unittests/platform/store_test.cpp
+++ b/unittests/platform/store_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/store.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -42,6 +43,14 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string out;
+    for (const auto it : parts)
+        out += it;
+    return out;
+}
+
 /// Objects that name no server to use: what another writer may leave.
 std::vector<std::string> odd_objects()
 {
@@ -201,19 +210,19 @@
     const std::string good =
         R"({"meta":{"name":"good"},"spec":{"service":"p","zone":"z",)"
         R"("addr":"10.0.0.9:80","state":"ready","born":5}})";
+    const std::string end = R"(],"storeRevision":7})";
     for (const auto& odd : odd_objects())
     {
         const auto list = platform::decode_batch(
-            follow_step::list, {200,
-                                {},
-                                R"({"items":[)" + good + "," + odd + "," +
-                                    good + R"(],"storeRevision":7})"});
-        const auto watch = platform::decode_batch(
-            follow_step::watch,
+            follow_step::list,
             {200,
              {},
-             R"({"events":[{"object":)" + odd + R"(},{"object":)" + good +
-                 R"(}],"storeRevision":7})"});
+             joined({R"({"items":[)", good, ",", odd, ",", good, end})});
+        const auto watch = platform::decode_batch(
+            follow_step::watch, {200,
+                                 {},
+                                 joined({R"({"events":[{"object":)", odd,
+                                         R"(},{"object":)", good, "}", end})});
         for (const auto* batch : {&list, &watch})
         {
             CHECK_TEXT(batch->has_value(), odd.substr(0, 200).c_str());
