--- a/unittests/daemon/operators_test.cpp
+++ b/unittests/daemon/operators_test.cpp
@@ -169,7 +169,7 @@
                           {"apply", "--wait", "--wait-ms", "5000", "--file",
                            write_search(fleet, "wait", 450)});
     fleet.vm_process(2).signal(SIGCONT);
-    LONGS_EQUAL(1, late.code);
+    LONGS_EQUAL_TEXT(1, late.code, late.text.c_str());
     STRCMP_CONTAINS("not in force yet on: oostende-2", late.text.c_str());
     const auto it = ctl(fleet, 0,
                         {"apply", "--wait", "--wait-ms", "20000", "--file",
