--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -243,7 +243,7 @@
         self.name = f"front-{zone}-{number}"
         self.zone = zone
         self.ip = world.ip(10 + number)
-        self.ports = {name: free_port(self.ip) for name in ("front", "ready", "control")}
+        self.ports = dict(zip(("front", "ready", "control"), free_ports(self.ip, 3)))
         self.process = None
         self.path = os.path.join(world.folder, self.name + ".yaml")
         self.log = open(os.path.join(world.folder, self.name + ".log"), "ab")
@@ -309,10 +309,15 @@
         self.log.close()
 
 
-def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+def free_ports(ip, count):
+    """Different free ports; each is free again when this returns."""
+    sockets = [socket.socket() for _ in range(count)]
+    for it in sockets:
+        it.bind((ip, 0))
+    ports = [it.getsockname()[1] for it in sockets]
+    for it in sockets:
+        it.close()
+    return ports
 
 
 class Server:
@@ -322,6 +327,7 @@
         self.world = world
         self.service = service
         self.behave = behave
+        self.connections = set()
         self.id = f"i-{random.getrandbits(32):08x}"
         self.ip = world.ip(100 + len(world.servers))
         self.listener = Listener(self.ip, 0, self.serve, prepare)
@@ -332,7 +338,23 @@
         world.servers.append(self)
         world.store.put("servers", self.id, self.entry)
 
+    def exit(self):
+        """Ends as a process does: its connections close at once."""
+        self.listener.close()
+        for it in list(self.connections):
+            try:
+                it.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def serve(self, connection):
+        self.connections.add(connection)
+        try:
+            self.serve_requests(connection)
+        finally:
+            self.connections.discard(connection)
+
+    def serve_requests(self, connection):
         stream = _Buffered(connection)
         while True:
             head = receive_head(stream)
@@ -349,6 +371,54 @@
                 return
 
 
+class Link:
+    """A proxy before an entry process, on which both directions can be cut.
+
+    While the link is cut, bytes are held up; they arrive when it heals, as TCP
+    would send them again.
+    """
+
+    def __init__(self, world, entry):
+        self.entry = entry
+        self.whole = threading.Event()
+        self.whole.set()
+        self.ip = world.ip(200 + len(world.links))
+        self.listener = Listener(self.ip, 0, self.serve)
+        world.links.append(self)
+
+    @property
+    def address(self):
+        return self.ip, self.listener.port
+
+    def serve(self, connection):
+        with socket.create_connection((self.entry.ip, self.entry.ports["front"]), 2) as other:
+            other.settimeout(None)
+            other.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            back = threading.Thread(target=self.pump, args=(other, connection), daemon=True)
+            back.start()
+            self.pump(connection, other)
+            back.join()
+
+    def pump(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                self.whole.wait()
+                sink.sendall(data)
+        except OSError:
+            pass
+        self.whole.wait()
+        try:
+            sink.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def cut(self):
+        self.whole.clear()
+
+    def heal(self):
+        self.whole.set()
+
+
 class _Buffered:
     """Reads lines and exact counts of bytes from a socket."""
 
@@ -426,6 +496,7 @@
         self.net = f"127.{random.randint(30, 220)}.{random.randint(1, 250)}"
         self.servers = []
         self.entries = []
+        self.links = []
         self.store = Store(self.ip(2), self.record)
 
     def ip(self, last):
@@ -447,7 +518,7 @@
     def end(self):
         for it in self.entries:
             it.end()
-        for it in self.servers:
+        for it in self.servers + self.links:
             it.listener.close()
         self.store.listener.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -469,20 +540,21 @@
 class Client:
     """One connection of a client, kept over its requests."""
 
-    def __init__(self, entry, timeout=15):
-        self.entry = entry
-        self.connection = socket.create_connection((entry.ip, entry.ports["front"]), 2)
+    def __init__(self, entry, timeout=15, through=None):
+        address = through.address if through else (entry.ip, entry.ports["front"])
+        self.connection = socket.create_connection(address, 2)
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connection.settimeout(timeout)
         self.stream = _Buffered(self.connection)
 
-    def send(self, method, path, request_id, deadline_ms, body=b""):
+    def send(self, method, path, request_id, deadline_ms, body=b"", first=None):
+        """Sends a request; of the body only the `first` bytes, if that is given."""
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}",
                  f"Mimosacroft-Request-Id: {request_id}",
                  f"Mimosacroft-Deadline-Ms: {deadline_ms}"]
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
-        self.connection.sendall("\r\n".join(lines + ["", ""]).encode() + body)
+        self.connection.sendall("\r\n".join(lines + ["", ""]).encode() + body[:first])
 
     def receive(self):
         """The answer; None if the connection ended without a whole one."""
