--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
-"""A server answers before it has read a long body, and reads on later."""
+"""A machine is suspended under load: requests that wait there run twice, after a 503."""
 
 import os
-import socket
+import signal
 import sys
 import threading
 import time
@@ -12,90 +12,96 @@
                    run_case)
 
 SERVICE = "records"
-PATH = "/records/put"
-LONG_BODY = 200_000  # under maxBodyBytes, 262,144
-READ_FIRST = 2_000   # of the body, before the server answers
-READ_ON_AFTER_S = 0.5
-ROUNDS = 6
-
-
-def body_of(request_id, size):
-    """A body that tells which request it belongs to, at each place."""
-    unit = f"<{request_id}>".encode()
-    return (unit * (size // len(unit) + 1))[:size]
-
-
-def ethernet(listener):
-    """Segments as on Ethernet, in place of loopback's 64 KiB."""
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+PATH = "/records/book"
+TIMEOUT_MS = 1500
+SLO_MS = 400
+DEADLINE_MS = 6000
+WORK_S = 3.0
+CLIENTS = 60
+FILLING = 40  # all that the process sends to one server at a time, and some more
+STEP_S = 0.004        # between two of the others
+SUSPENDED_S = 2.2
+ROUNDS = 2
+PROMISES = (408, 421, 429, 503)
 
 
 def play(world: World):
-    wrong = []
-    sent = set()
+    ran = {}
+    refused = {}
 
     def behave(request):
-        is_long = request.length > 100_000
-        expected = body_of(request.id, request.length)
-        if request.id not in sent:
-            wrong.append(f"{request.line!r} with an id that no client sent")
-        if TROUBLE and is_long:
-            request.read_body(READ_FIRST)
-            request.note(f"has a body of {request.length} bytes; answers 503, not executed, "
-                         f"after {READ_FIRST} of them, and keeps the connection")
-            request.reject()
-            time.sleep(READ_ON_AFTER_S)
-            body = request.read_body()
-        else:
-            body = request.read_body()
-            if is_long:
-                request.reject()
-        if body == expected[:len(body)]:
-            request.note(f"body: {len(body)} of {request.length} bytes, all right")
-        else:
-            at = next(n for n, (a, b) in enumerate(zip(body, expected)) if a != b)
-            got = body[at:at + 160]
-            wrong.append(f"request {request.id}: other bytes at {at} of its body")
-            request.note(f"body: OTHER BYTES at {at} of {request.length}: {got!r}")
-        if len(body) < request.length:
-            return "close"
-        if not is_long:
-            request.note("runs")
+        request.read_body()
+        if request.line.split(" ")[1].endswith("/quick"):
+            request.succeed()
+            return
+        ran.setdefault(request.id, []).append(world.record.now())
+        request.note(f"runs, deadline {request.deadline_ms} ms")
+        # A server stops work at the deadline that it got.
+        time.sleep(min(WORK_S, request.deadline_ms / 1000))
+        if WORK_S * 1000 < request.deadline_ms:
             request.succeed()
-        return None
+        else:
+            request.answer(504, b"", {"Mimosacroft-Server-Stamp": f"00.{request.id}"})
 
-    for _ in range(2):
-        Server(world, SERVICE, behave, prepare=ethernet)
-    world.configure(7, [route("put", "/records/", "non_idempotent", service=SERVICE)], [SERVICE])
+    Server(world, SERVICE, behave, capacity=64)
+    world.configure(7, [route("book", "/records/", "non_idempotent", timeout_ms=TIMEOUT_MS,
+                              slo_ms=SLO_MS, service=SERVICE)], [SERVICE])
     entry = world.add_entry()
     entry.start()
     entry.wait_ready()
 
-    def ask(size):
-        request_id = new_id()
-        sent.add(request_id)
-        client = Client(entry)
-        client.send("POST", PATH, request_id, 6000, body_of(request_id, size))
-        world.record(f"client sent {request_id} with a body of {size} bytes")
+    def receive(client, request_id):
         answer = client.receive()
         world.record(f"client got {answer.status if answer else 'no answer'} for {request_id}")
-        client.close()
+        if answer and answer.status in PROMISES:
+            refused[request_id] = (answer.status, world.record.now())
 
     for _ in range(ROUNDS):
-        askers = [threading.Thread(target=ask, args=(LONG_BODY,))]
-        askers += [threading.Thread(target=ask, args=(300,)) for _ in range(4)]
-        for it in askers:
+        clients = [Client(entry) for _ in range(CLIENTS)]
+        for client in clients:
+            client.send("POST", PATH + "/quick", new_id(), DEADLINE_MS, b"x")
+            if client.receive() is None:
+                raise RuntimeError("no answer before the burst")
+        ids = [new_id() for _ in clients]
+        receivers = [threading.Thread(target=receive, args=it)
+                     for it in zip(clients, ids)]
+        for it in receivers:
             it.start()
-            time.sleep(0.05)
-        for it in askers:
+        for client, request_id in zip(clients[:FILLING], ids):
+            client.send("POST", PATH, request_id, DEADLINE_MS, b"one duct")
+        time.sleep(0.1)
+        half = threading.Event()
+
+        def send_others(clients=clients[FILLING:], ids=ids[FILLING:], half=half):
+            for n, (client, request_id) in enumerate(zip(clients, ids)):
+                client.send("POST", PATH, request_id, DEADLINE_MS, b"one duct")
+                time.sleep(STEP_S)
+                if n == len(ids) // 2:
+                    half.set()
+
+        sender = threading.Thread(target=send_others)
+        sender.start()
+        half.wait()
+        if TROUBLE:
+            entry.signal(signal.SIGSTOP)
+        time.sleep(SUSPENDED_S)
+        if TROUBLE:
+            entry.signal(signal.SIGCONT)
+        sender.join()
+        for it in receivers:
             it.join()
-        time.sleep(2 * READ_ON_AFTER_S)
-    if entry.process.poll() is not None:
-        wrong.append(f"{entry.name} ended with {entry.process.returncode}")
-    for it in wrong:
-        world.record("wrong: " + it)
-    return BROKEN if wrong else HELD
+        time.sleep(1.5)
+        for client in clients:
+            client.close()
+    false_refusals = [it for it in refused if it in ran]
+    repeated = [it for it in ran if len(ran[it]) > 1]
+    for it in sorted(set(false_refusals + repeated)):
+        times = ", ".join(f"{at:.3f}" for at in ran[it])
+        answered = "was answered {} at {:.3f}".format(*refused[it]) if it in refused else ""
+        world.record(f"wrong: {it} ran at {times}; {answered}")
+    world.record(f"{len(repeated)} requests ran more than once (TWICE); {len(false_refusals)} "
+                 f"of {len(refused)} that were refused have run (REFUSED)")
+    return BROKEN if repeated else HELD
 
 
 run_case(HERE, play)
