--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,8 @@
 SLO_MS = 400
 DEADLINE_MS = 6000
 WORK_S = 3.0
-CLIENTS = 60
-FILLING = 40  # all that the process sends to one server at a time, and some more
+CLIENTS = 36
+FILLING = 12  # all that one of nine VMs sends to two servers at a time, and some more
 STEP_S = 0.004        # between two of the others
 SUSPENDED_S = 2.2
 ROUNDS = 2
@@ -43,12 +43,11 @@
         else:
             request.answer(504, b"", {"Mimosacroft-Server-Stamp": f"00.{request.id}"})
 
-    Server(world, SERVICE, behave, capacity=64)
+    for _ in range(2):
+        Server(world, SERVICE, behave, capacity=40)
     world.configure(7, [route("book", "/records/", "non_idempotent", timeout_ms=TIMEOUT_MS,
                               slo_ms=SLO_MS, service=SERVICE)], [SERVICE])
-    entry = world.add_entry()
-    entry.start()
-    entry.wait_ready()
+    entry = world.start_fleet()[0]
 
     def receive(client, request_id):
         answer = client.receive()
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -507,6 +507,17 @@
         self.entries.append(entry)
         return entry
 
+    def start_fleet(self):
+        """Nine entry VMs, as sites/kcr-search.toml has them; waits until all are ready."""
+        zones = ["zone-a"] * 4 + ["zone-b"] * 3 + ["zone-c"] * 2
+        fleet = [self.add_entry(zone) for zone in zones]
+        for entry in fleet:
+            entry.start()
+        for entry in fleet:
+            entry.wait_ready(30)
+        time.sleep(1)  # they read the list of each other
+        return fleet
+
     def configure(self, version, routes, services, limits=None):
         self.store.put("config", "main", {
             "version": version, "routes": routes,
