--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 DEADLINE_MS = 6000
 WORK_S = 3.0
 CLIENTS = 36
-FILLING = 12  # all that one of nine VMs sends to two servers at a time, and some more
+FILLING = 12  # all that one of ten VMs sends to two servers at a time, and some more
 STEP_S = 0.004        # between two of the others
 SUSPENDED_S = 2.2
 ROUNDS = 2
@@ -47,11 +47,10 @@
         Server(world, SERVICE, behave, capacity=40)
     world.configure(7, [route("book", "/records/", "non_idempotent", timeout_ms=TIMEOUT_MS,
                               slo_ms=SLO_MS, service=SERVICE)], [SERVICE])
-    entry = world.start_fleet()[0]
+    entry = world.start_fleet((5, 3, 2))[0]
 
     def receive(client, request_id):
         answer = client.receive()
-        world.record(f"client got {answer.status if answer else 'no answer'} for {request_id}")
         if answer and answer.status in PROMISES:
             refused[request_id] = (answer.status, world.record.now())
 
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -27,6 +27,7 @@
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
+LONGEST_RUN_S = 110
 
 HOST = "records.example"
 ZONES = {"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-2"}
@@ -507,9 +508,14 @@
         self.entries.append(entry)
         return entry
 
-    def start_fleet(self):
-        """Nine entry VMs, as sites/kcr-search.toml has them; waits until all are ready."""
-        zones = ["zone-a"] * 4 + ["zone-b"] * 3 + ["zone-c"] * 2
+    def add_idle_servers(self, count):
+        """Servers of another service, so that one server is a small share of all."""
+        for _ in range(count):
+            Server(self, "others", lambda request: request.succeed())
+
+    def start_fleet(self, zone_sizes=(4, 3, 2)):
+        """Entry VMs, as many as sites/kcr-search.toml has; waits until all are ready."""
+        zones = [zone for zone, count in zip(ZONES, zone_sizes) for _ in range(count)]
         fleet = [self.add_entry(zone) for zone in zones]
         for entry in fleet:
             entry.start()
@@ -552,6 +558,8 @@
     """One connection of a client, kept over its requests."""
 
     def __init__(self, entry, timeout=15, through=None):
+        self.record = entry.world.record
+        self.request_id = None
         address = through.address if through else (entry.ip, entry.ports["front"])
         self.connection = socket.create_connection(address, 2)
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -560,6 +568,8 @@
 
     def send(self, method, path, request_id, deadline_ms, body=b"", first=None):
         """Sends a request; of the body only the `first` bytes, if that is given."""
+        self.request_id = request_id
+        self.record(f"client sends {request_id}: {method} {path}, {len(body)} bytes")
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}",
                  f"Mimosacroft-Request-Id: {request_id}",
                  f"Mimosacroft-Deadline-Ms: {deadline_ms}"]
@@ -569,6 +579,12 @@
 
     def receive(self):
         """The answer; None if the connection ended without a whole one."""
+        answer = self.receive_answer()
+        self.record(f"client got {answer.status if answer else 'no answer'} "
+                    f"for {self.request_id}")
+        return answer
+
+    def receive_answer(self):
         try:
             head = receive_head(self.stream)
             if head is None:
@@ -591,16 +607,38 @@
 
 
 def run_case(case_folder, play):
-    """Runs `play(world)`, which returns HELD or BROKEN, and exits with that."""
-    world = World(case_folder)
+    """Runs `play(world)`, which returns HELD or BROKEN, and exits with that.
+
+    Whatever keeps the case from running to its end makes it exit with 2.
+    """
+    errors = []
+    threading.excepthook = lambda it: errors.append(f"{it.exc_type.__name__}: {it.exc_value}")
+    world = None
     code = COULD_NOT_RUN
     try:
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+            signal.signal(number, give_up)
+        signal.alarm(LONGEST_RUN_S)
+        world = World(case_folder)
         if not os.path.exists(os.path.join(ROOT, PROGRAM[0])):
             raise CouldNotRun(f"{PROGRAM[0]} is not built")
         code = play(world)
+        if errors and code == HELD:
+            raise CouldNotRun(f"a stand-in failed: {errors[0]}")
     except Exception as error:  # the case could not run, whatever the reason
-        world.record(f"could not run: {type(error).__name__}: {error}")
+        code = COULD_NOT_RUN
+        if world:
+            world.record(f"could not run: {type(error).__name__}: {error}")
     finally:
-        world.end()
-    world.record({HELD: "held", BROKEN: "BROKEN", COULD_NOT_RUN: "could not run"}[code])
-    sys.exit(code)
+        signal.alarm(0)
+        if world:
+            world.end()
+    if world:
+        world.record(("held", "BROKEN", "could not run")[code])
+    sys.stdout.flush()
+    # Threads of stand-ins may still wait for connections.
+    os._exit(code)
+
+
+def give_up(number, _frame):
+    raise CouldNotRun(f"stopped by {signal.Signals(number).name}")
