--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,10 +14,12 @@
 SERVICE = "records"
 PATH = "/records/book"
 DEADLINE_MS = 6000
-CLIENTS = 12
-ASKING_S = 60       # at most
+CLIENTS = 16
+SPANS = 3           # at most; in each the server sheds and repeats answers
 ENOUGH = 3          # requests that were refused and have run
-SHED_SHARE = 0.45   # of the requests, as srv_grey does
+SPAN_S = 5
+PAUSE_S = 5         # between two spans
+SHED_SHARE = 0.2    # of the requests, as srv_grey does
 COPY_SHARE = 0.04   # of its answers, as garble does
 COPY_AFTER_S = 0.004
 WORK_S = 0.02
@@ -28,10 +30,12 @@
     ran = {}
     answered = {}
     lock = threading.Lock()
+    in_span = threading.Event()
+    stop = threading.Event()
 
     def behave(request):
         request.read_body()
-        if random.random() < SHED_SHARE:
+        if in_span.is_set() and random.random() < SHED_SHARE:
             request.reject()
             request.note("is rejected, 503, not executed")
             if TROUBLE and random.random() < COPY_SHARE:
@@ -48,6 +52,7 @@
 
     leaving = Server(world, SERVICE, behave, capacity=16)
     Server(world, SERVICE, behave, capacity=16)
+    world.add_idle_servers(6)
     world.configure(7, [route("book", "/records/", "non_idempotent", service=SERVICE)], [SERVICE])
     entry = world.add_entry()
     entry.start()
@@ -56,8 +61,6 @@
     world.record(f"{leaving.id} is draining, the other server stays")
     time.sleep(3)
 
-    until = world.record.now() + ASKING_S
-
     def refused_and_run():
         with lock:
             return [it for it, status in list(answered.items())
@@ -65,12 +68,11 @@
 
     def ask():
         client = Client(entry)
-        while world.record.now() < until and len(refused_and_run()) < ENOUGH:
+        while not stop.is_set():
             request_id = new_id()
             client.send("POST", PATH, request_id, DEADLINE_MS, b"one duct")
             answer = client.receive()
             answered[request_id] = answer.status if answer else None
-            world.record(f"client got {answered[request_id]} for {request_id}")
             if answer is None:
                 client = Client(entry)
             time.sleep(0.02)
@@ -78,6 +80,16 @@
     askers = [threading.Thread(target=ask) for _ in range(CLIENTS)]
     for it in askers:
         it.start()
+    for _ in range(SPANS):
+        time.sleep(PAUSE_S)
+        world.record("the server sheds, and repeats answers" if TROUBLE else "the server sheds")
+        in_span.set()
+        time.sleep(SPAN_S)
+        in_span.clear()
+        world.record("the server is well")
+        if len(refused_and_run()) >= ENOUGH:
+            break
+    stop.set()
     for it in askers:
         it.join()
     time.sleep(1)
