A request is never sent past its deadline, nor once its exchange has ended

What callers saw: a VM stood still for 2.2 s under load.

Cause: two faults. A place that became free went to a query whose final deadline had passed, as only the query's own timer looked at it. And the process carries out a step's cancels before its sends, so that an exchange which began and ended in one step was sent after it had been ended and counted as never written.

Evidence: the servers' record, 503 at 4.061, runs at 4.077 and 4.082 with a deadline of 1 ms.

Why this works: every send asks whether the query has time left; and effects::cancel() takes a send that begins in the same step out of the list, so no exchange is in both lists, whatever their order.

--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -202,12 +202,18 @@
 /// The actions that a call of the gateway asks the process to carry out.
 struct effects
 {
+    // No exchange is in `cancels` and in `sends` or `relays`: what was decided
+    // on the premise that its request will not be written stays true, in
+    // whatever order the lists are carried out.
     std::vector<send_effect> sends;
     std::vector<relay_effect> relays;
     std::vector<news_effect> news;
     std::vector<exchange_number> cancels; ///< close the connections of these
     std::vector<answer_effect> answers;
     std::vector<core::log_event> events;
+
+    /// Ends an exchange. If it begins in this list, it is taken out of it.
+    void cancel(exchange_number number);
 };
 
 /// Whether `answered` of `total` shards are at least `min_share` of them.
@@ -262,7 +268,9 @@
     caller_request_ptr request;
     search_ptr search;
     base::instant started{};
-    base::instant give_up_at{}; ///< final deadline: answered or refused by then
+    /// Final deadline: nothing is sent from here on, and the next timer answers
+    /// or refuses the query. The timer is late where the process stood still.
+    base::instant give_up_at{};
     /// From here on a scattered query is answered with the shards that are in,
     /// once they are enough.
     base::instant answer_by{};
@@ -288,6 +296,8 @@
     std::uint64_t version = 0; ///< configuration version at the start
     base::instant timer_at = base::never; ///< key in the gateway's timers
 
+    /// Whether it may still be sent to servers and VMs.
+    bool has_time(base::instant now) const { return now < give_up_at; }
     /// Servers that answered or ended, wherever the request was sent from.
     run_record total_record() const;
     /// The share of its parts that must be done for an answer.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -226,7 +226,7 @@
             const auto it = remove_exchange(number);
             if (auto* to = servers_.find(it.to))
                 servers_.on_canceled(*to, it.sent_at);
-            out.cancels.push_back(number);
+            out.cancel(number);
         }
     }
 }
--- a/lib/gateway/gateway_crashes.cpp
+++ b/lib/gateway/gateway_crashes.cpp
@@ -143,6 +143,8 @@
 // there is none, nothing is sent.
 void gateway::start_probe(query& q, instant now, effects& out)
 {
+    if (!q.has_time(now))
+        return;
     const auto expected = expected_latency(*q.search);
     const auto offset = static_cast<std::size_t>(
         random_fraction() * static_cast<double>(q.parts.size()));
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -54,7 +54,7 @@
 void gateway::send_part(query& q, std::size_t part, instant now, effects& out)
 {
     auto& p = q.parts[part];
-    if (!servers_.has_live(p.service))
+    if (!q.has_time(now) || !servers_.has_live(p.service))
     {
         fail_part(q, part);
         return;
@@ -144,6 +144,12 @@
     if (p.state == part_state::done || p.state == part_state::failed ||
         p.attempts_used >= q.search->max_attempts)
         return;
+    if (!q.has_time(now))
+    {
+        if (p.in_flight.empty())
+            fail_part(q, part);
+        return;
+    }
     if (!may_risk_server(q, p, now))
     {
         hold_or_fail_part(q, part, now);
@@ -187,8 +193,8 @@
         const auto next = first->second;
         auto& q = queries_.at(next.query);
         auto& p = q.parts[next.part];
-        auto* to = choose_server(q, p, now);
-        if (!to && is_any_permitted(q, p, now))
+        auto* to = q.has_time(now) ? choose_server(q, p, now) : nullptr;
+        if (!to && q.has_time(now) && is_any_permitted(q, p, now))
             return;
         queue->second.erase(first);
         if (queue->second.empty())
@@ -332,7 +338,7 @@
 
 void gateway::expire_exchange(exchange_number number, instant now, effects& out)
 {
-    out.cancels.push_back(number);
+    out.cancel(number);
     if (!exchanges_.at(number).relay_vm.empty())
     {
         on_relay_failure(number, send_failure::lost, now, out);
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -108,7 +108,8 @@
 
 void gateway::start_relay(query& q, instant now, effects& out)
 {
-    if (!options_.use.relaying || q.is_relayed || !q.search->is_scattered())
+    if (!options_.use.relaying || q.is_relayed || !q.search->is_scattered() ||
+        !q.has_time(now))
         return;
     auto plan = plan_relay(*q.search, now);
     // After a probe, one of the shards was requested already.
@@ -322,7 +323,7 @@
     const auto it = remove_exchange(number);
     relays_.on_canceled(it.relay_vm, it.sent_at, now);
     q.relay_outcome += " no answer";
-    out.cancels.push_back(number);
+    out.cancel(number);
 }
 
 } // namespace mimosacroft::gateway
--- a/lib/gateway/query.cpp
+++ b/lib/gateway/query.cpp
@@ -1,5 +1,5 @@
 // Coverage of a query: how many of its shards have answered; names of servers
-// between VMs.
+// between VMs; the end of exchanges.
 #include "mimosacroft/gateway/query.hpp"
 
 #include "mimosacroft/base/stable_hash.hpp"
@@ -30,6 +30,15 @@
     return static_cast<server_tag>(base::stable_hash({it.id}));
 }
 
+void effects::cancel(exchange_number number)
+{
+    const auto begins_here = [number](const auto& it)
+    { return it.number == number; };
+    if (std::erase_if(sends, begins_here) == 0 &&
+        std::erase_if(relays, begins_here) == 0)
+        cancels.push_back(number);
+}
+
 run_record query::total_record() const
 {
     return {record.answered + remote_record.answered,
--- a/unittests/gateway/gateway_fixture.hpp
+++ b/unittests/gateway/gateway_fixture.hpp
@@ -55,12 +55,14 @@
 /// written to its connection at once. Calls return the resulting effects.
 struct gateway_harness
 {
-    explicit gateway_harness(std::vector<gateway::search> searches,
-                             gateway::gateway_options options = make_options())
+    explicit gateway_harness(
+        std::vector<gateway::search> searches,
+        gateway::gateway_options options = make_options(),
+        std::vector<gateway::service_settings> services = {})
         : subject(std::move(options))
     {
         subject.apply(std::make_shared<const gateway::catalog>(
-            1, std::move(searches), std::vector<gateway::service_settings>{},
+            1, std::move(searches), std::move(services),
             gateway::caller_limits{}));
     }
 
