--- a/lib/query/leaf_send.cpp
+++ b/lib/query/leaf_send.cpp
@@ -91,10 +91,16 @@
 {
     const auto first = from.waiting.front().second;
     auto& task = *find(first);
+    // The timer that ends a forward is late where the process stood still.
+    if (forwards_.at(first.forward).deadline <= now)
+    {
+        report_lacking(first, lack_at_deadline(task, now));
+        answer_if_complete(first.forward);
+        return true;
+    }
     const auto within = limits_of(upstream, task, now);
     if (!chooser_.has_candidate(upstream, within, now))
     {
-        unqueue(task);
         report_lacking(first, task.attempts > 0
                                   ? task.lack
                                   : model::lack_reason::no_server);
--- a/unittests/query/leaf_test.cpp
+++ b/unittests/query/leaf_test.cpp
@@ -263,6 +263,25 @@
     LONGS_EQUAL(0, rig.leaf.open());
 }
 
+// Guards against work that is sent after its deadline: the process stood still,
+// and a reply that frees a slot comes before the timer.
+TEST(leaf, what_waited_past_its_deadline_is_never_sent)
+{
+    for (std::uint32_t n = 1; n <= 4; ++n)
+        rig.forward(n, 1, 300, false); // fills the slots
+    rig.forward(5, 1, 300, false);
+    const auto before = rig.work();
+    rig.now += base::seconds(2);
+    rig.reply_ok(before.at(0));
+    rig.reply_ok(before.at(1));
+    LONGS_EQUAL(before.size() - 2, rig.work().size());
+    rig.tick(milliseconds(0));
+    const auto reports = rig.reports();
+    LONGS_EQUAL(5, reports.size());
+    LONGS_EQUAL(
+        1, std::ranges::count(reports, false, &wire::shard_report::maybe_run));
+}
+
 TEST(leaf, refuses_early_what_cannot_make_its_deadline)
 {
     rig.warm_up();
