A repeat never uses a connection that may still bring an old answer

What callers saw: a server rejected a request and sent the rejection twice.

Cause: answers are told apart by the request's id, which all sends of one request share; the repeat took the connection that had become free just then.

Evidence: each false refusal in the servers' record follows a second copy of the same id within a millisecond; the test shows it without timing.

Why this works: a connection carries at most one send of a request, so an id tells the answers on it apart, whenever they come.

--- a/include/mimosacroft/gateway/query.hpp
+++ b/include/mimosacroft/gateway/query.hpp
@@ -175,6 +175,9 @@
     std::string server_id;
     base::milliseconds time_left{0}; ///< until the final deadline
     bool may_repeat = false;         ///< the request is idempotent
+    /// Exchanges in which this part of the request was sent before. Their
+    /// answers can't be told from those of this one by the request's id.
+    std::vector<exchange_number> earlier;
     caller_request_ptr request;
 };
 
--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace mimosacroft::http
 {
@@ -68,10 +69,15 @@
         /// Only a connection that was in use until less than this ago, else a
         /// new one: an old one may be gone already, without a sign of it.
         base::milliseconds most_idle = base::milliseconds::max();
+        /// Exchanges in which the same request was sent before. Their answers
+        /// bear its id as well, and a second copy of one may still come. So no
+        /// connection is used that carried, or may have carried, one of them.
+        std::vector<exchange_number> earlier;
     };
 
     /// Sends a request on a kept connection or a new one. Nothing is called
-    /// back before this returns.
+    /// back before this returns. Numbers of exchanges increase from call to
+    /// call.
     void send(exchange_number number, const tcp::endpoint& to,
               const request& message, send_options options);
     void send(exchange_number number, const tcp::endpoint& to,
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway_detail.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mimosacroft::gateway
 {
@@ -114,6 +115,9 @@
     p.in_flight.push_back(number);
     ++q.open_sends;
     p.tried_servers.push_back(to.number);
+    std::vector<exchange_number> earlier;
+    std::ranges::transform(p.sends, std::back_inserter(earlier),
+                           &send_record::number);
     p.sends.push_back(
         {number,
          to.entry.id,
@@ -129,9 +133,9 @@
     p.hedge_at = may_hedge ? now + hedge_delay(q, p, to, now) : base::never;
     const auto left =
         std::chrono::duration_cast<milliseconds>(q.give_up_at - now);
-    out.sends.push_back({number, to.entry.address, to.entry.id,
-                         std::max(left, milliseconds(1)),
-                         q.search->is_idempotent(), q.request});
+    out.sends.push_back(
+        {number, to.entry.address, to.entry.id, std::max(left, milliseconds(1)),
+         q.search->is_idempotent(), std::move(earlier), q.request});
 }
 
 // Sends a part again: as a hedge if a send is in flight, else as a retry. Sets
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <deque>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -70,7 +71,10 @@
     {
     }
 
-    connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since);
+    connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since,
+                             const std::vector<exchange_number>& earlier);
+    void end_carriers(const tcp::endpoint& to,
+                      const std::vector<exchange_number>& earlier);
     void remove(const connection_ptr& it);
     void fail_largest_if_full();
 
@@ -84,6 +88,36 @@
     std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
 };
 
+/// The exchanges that a connection carried, the oldest of which are forgotten.
+class exchange_history
+{
+public:
+    void add(exchange_number number)
+    {
+        if (first_ == 0)
+            first_ = number;
+        if (latest_.size() == max_known)
+            latest_.pop_front();
+        latest_.push_back(number);
+    }
+
+    /// True for each exchange that the connection carried.
+    bool may_contain(exchange_number number) const
+    {
+        if (latest_.empty() || number < first_)
+            return false;
+        const bool is_forgotten =
+            latest_.front() != first_ && number < latest_.front();
+        return is_forgotten ||
+               std::ranges::find(latest_, number) != latest_.end();
+    }
+
+private:
+    static constexpr std::size_t max_known = 32;
+    exchange_number first_ = 0;
+    std::deque<exchange_number> latest_; ///< ascending
+};
+
 class client::impl::connection
     : public std::enable_shared_from_this<client::impl::connection>
 {
@@ -98,6 +132,8 @@
     std::size_t received() const { return received_; }
     void start(exchange_number number, const request& message);
     void end();
+    /// Whether an answer of one of these exchanges may still come on it.
+    bool may_have_carried(const std::vector<exchange_number>& any) const;
     /// Idle for longer than the peer keeps it.
     bool is_worn(base::instant now) const;
     /// Takes too long to connect.
@@ -124,7 +160,10 @@
     std::string out_; ///< the request while it is written
     std::optional<parser_type> parser_;
     exchange_number number_ = 0; ///< 0 while idle
-    std::size_t received_ = 0;   ///< bytes, in this exchange
+    // No two exchanges on it belong to the same request: an id tells the
+    // answers on one connection apart, whenever they come.
+    exchange_history carried_;
+    std::size_t received_ = 0; ///< bytes, in this exchange
     bool is_head_ = false;
     bool connected_ = false;
     bool reusable_ = true;
@@ -137,6 +176,7 @@
                                      const request& message)
 {
     number_ = number;
+    carried_.add(number);
     is_head_ = message.method == "HEAD";
     out_ = serialize(message);
     owner_->moved.sent += out_.size();
@@ -343,6 +383,13 @@
     owner_->remove(shared_from_this());
 }
 
+bool client::impl::connection::may_have_carried(
+    const std::vector<exchange_number>& any) const
+{
+    return std::ranges::any_of(any, [this](exchange_number number)
+                               { return carried_.may_contain(number); });
+}
+
 bool client::impl::connection::is_worn(base::instant now) const
 {
     return now - last_use_ >= idle_time_;
@@ -353,18 +400,43 @@
     return !connected_ && now - last_use_ >= owner_->options.connect_time;
 }
 
-client::impl::connection_ptr client::impl::take_idle(const tcp::endpoint& to,
-                                                     base::instant used_since)
+// The connection that was in use last, of those that may carry the request.
+client::impl::connection_ptr
+client::impl::take_idle(const tcp::endpoint& to, base::instant used_since,
+                        const std::vector<exchange_number>& earlier)
 {
-    const auto it = idle.find(to);
-    if (it == idle.end() || it->second.empty() ||
-        it->second.back()->last_use() < used_since)
+    const auto found = idle.find(to);
+    if (found == idle.end())
         return nullptr;
-    auto out = it->second.back();
-    it->second.pop_back();
+    auto& kept = found->second;
+    const auto it = std::find_if(kept.rbegin(), kept.rend(),
+                                 [&](const connection_ptr& one)
+                                 {
+                                     return one->last_use() >= used_since &&
+                                            !one->may_have_carried(earlier);
+                                 });
+    if (it == kept.rend())
+        return nullptr;
+    auto out = *it;
+    kept.erase(std::next(it).base());
     return out;
 }
 
+// The connection that is opened in their place would come on top of them, at a
+// server that counts connections.
+void client::impl::end_carriers(const tcp::endpoint& to,
+                                const std::vector<exchange_number>& earlier)
+{
+    const auto found = idle.find(to);
+    if (found == idle.end())
+        return;
+    std::vector<connection_ptr> carriers;
+    std::ranges::copy_if(found->second, std::back_inserter(carriers),
+                         [&earlier](const auto& it)
+                         { return it->may_have_carried(earlier); });
+    std::ranges::for_each(carriers, [](const auto& it) { it->end(); });
+}
+
 void client::impl::remove(const connection_ptr& it)
 {
     const auto found = idle.find(it->peer());
@@ -410,9 +482,12 @@
     const auto used_since = options.most_idle == base::milliseconds::max()
                                 ? base::instant::min()
                                 : now - options.most_idle;
-    auto it = impl_->take_idle(to, used_since);
+    auto it = impl_->take_idle(to, used_since, options.earlier);
     if (!it)
+    {
+        impl_->end_carriers(to, options.earlier);
         it = std::make_shared<impl::connection>(impl_, to);
+    }
     impl_->busy.emplace(number, it);
     it->start(number, message);
 }
--- a/unittests/gateway/single_test.cpp
+++ b/unittests/gateway/single_test.cpp
@@ -56,6 +56,17 @@
     LONGS_EQUAL(1, last.sends.size());
 }
 
+// Guards against a late second copy of a rejection: the process keeps a repeat
+// off the connections of the sends that are named here.
+TEST(single, a_repeat_names_the_earlier_sends_of_its_request)
+{
+    const auto out = non_repeatable.open("/one/q");
+    CHECK(out.sends.at(0).earlier.empty());
+    const auto next = non_repeatable.reply(out.sends[0].number,
+                                           gateway_harness::not_executed());
+    CHECK(next.sends.at(0).earlier == std::vector{out.sends[0].number});
+}
+
 TEST(single, refusal_by_all_servers_is_reported_as_not_run)
 {
     auto out = non_repeatable.open("/one/q");
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -78,6 +78,64 @@
     LONGS_EQUAL(2, client.opened());
 }
 
+// Guards against a rejection whose second copy comes late: it was taken for the
+// answer to the repeat of that request, which the server then ran.
+TEST(client, a_repeat_never_uses_a_connection_that_may_bring_an_old_answer)
+{
+    const std::string rejection =
+        "HTTP/1.1 503 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+    exchange(1, rejection);
+    wait_for(1);
+    // Another request in between does not make it safe.
+    exchange(2, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(2);
+    loop_peer second{io};
+    second.accept(acceptor);
+    client.send(3, at, {"GET", "/a", {}, ""}, {.earlier = {1}});
+    CHECK(run_until(io, [&] { return !second.got().empty(); }));
+    // The new connection takes the place of the old one.
+    CHECK(run_until(io, [&] { return peer.ended(); }));
+    CHECK(replies.count(3) == 0);
+    second.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    wait_for(3);
+    STRCMP_EQUAL("yes", replies.at(3).body.c_str());
+    second.close();
+}
+
+TEST(client, a_repeat_uses_a_connection_that_never_carried_its_request)
+{
+    loop_peer second{io};
+    exchange(1, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    client.send(2, at, {"GET", "/a", {}, ""});
+    second.accept(acceptor);
+    CHECK(run_until(io, [&] { return !second.got().empty(); }));
+    second.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(1);
+    wait_for(2);
+    second.forget();
+    client.send(3, at, {"GET", "/a", {}, ""}, {.earlier = {1}});
+    CHECK(run_until(io, [&] { return !second.got().empty(); }));
+    LONGS_EQUAL(2, client.opened());
+    second.close();
+}
+
+// What a connection carried long ago is no longer known, and then not assumed.
+TEST(client, a_connection_with_a_long_history_is_not_used_for_old_repeats)
+{
+    http::exchange_number n = 0;
+    while (n < 100)
+    {
+        exchange(++n, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        wait_for(n);
+    }
+    loop_peer second{io};
+    second.accept(acceptor);
+    client.send(++n, at, {"GET", "/a", {}, ""}, {.earlier = {1}});
+    CHECK(run_until(io, [&] { return second.accepted(); }));
+    LONGS_EQUAL(2, client.opened());
+    second.close();
+}
+
 TEST(client, an_interim_answer_is_passed_over)
 {
     exchange(1, "HTTP/1.1 100 Continue\r\n\r\n"
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -161,6 +161,21 @@
     CHECK(match({{"Content-Encoding", "gzip"}}) == http::reply_match::unusable);
 }
 
+// Guards against a late rejection of another request: taken for the answer to
+// this one, it would be repeated although a server runs it.
+TEST(messages, a_statement_of_not_having_run_needs_the_requests_id)
+{
+    const http::header not_executed{"Mimosacroft-Not-Executed", "1"};
+    const http::header id{"Mimosacroft-Request-Id", "r1"};
+    const auto match = [](unsigned status, http::header_list headers)
+    { return platform::match_reply("r1", {status, std::move(headers), ""}); };
+    CHECK(match(503, {not_executed}) == http::reply_match::stray);
+    CHECK(match(421, {}) == http::reply_match::stray);
+    CHECK(match(503, {not_executed, id}) == http::reply_match::belongs);
+    CHECK(match(421, {id}) == http::reply_match::belongs);
+    CHECK(match(500, {}) == http::reply_match::belongs);
+}
+
 TEST(messages, a_merged_answer_lists_its_signatures_and_missing_shards)
 {
     gateway::merged merged;
