Bytes without end: bounded over all calls of mimosad, by the VM's memory

Report of other operators: a faulty server sends bytes that are no answer until the caller closes; the machine keeps them all and runs out of memory.

A size of a chunk without end was kept up to 8 MB in both; 64 KiB now. mimosa-entry's bound over all exchanges is an eighth of the VM's memory, 48 MiB at most.

Tests that failed before: http_client.the_bytes_of_all_calls_that_go_on_are_ bounded, client.a_chunk_size_without_end_is_given_up_early.

--- a/include/mimosacroft/entry/settings.hpp
+++ b/include/mimosacroft/entry/settings.hpp
@@ -36,6 +36,8 @@
     gateway::mechanisms use; ///< the mechanisms that are switched on
     /// From the stop signal until the platform kills the process.
     base::milliseconds stop_grace{5'000};
+    /// Memory that the process may use; 0 if that is not stated.
+    std::size_t memory_bytes = 0;
 
     bool operator==(const settings&) const = default;
 };
--- a/include/mimosacroft/net/http_client.hpp
+++ b/include/mimosacroft/net/http_client.hpp
@@ -30,7 +30,12 @@
 public:
     using on_reply = std::function<void(base::result<wire::http_reply>)>;
 
-    explicit http_client(loop& owner);
+    /// Largest number of bytes that calls which go on may have received
+    /// together.
+    static constexpr std::size_t default_max_unfinished_bytes = 48 << 20;
+
+    explicit http_client(loop& owner, std::size_t max_unfinished_bytes =
+                                          default_max_unfinished_bytes);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
@@ -38,9 +43,10 @@
     /// Sends a request to `address` ("ip:port") and calls `fn` once, from the
     /// loop: with the reply, or with an error whose code is `unreachable` when
     /// the connection never came up, `broken` when it failed later, `timeout`
-    /// at the deadline, `too_large` when more comes than a reply may have. No
-    /// request is sent twice. A connection whose exchange failed, timed out or
-    /// was abandoned is closed and never used again.
+    /// at the deadline, `too_large` when more comes than a reply may have, or
+    /// when it has received most while all calls together exceed their bound.
+    /// No request is sent twice. A connection whose exchange failed, timed out
+    /// or was abandoned is closed and never used again.
     std::uint64_t call(const std::string& address,
                        const wire::http_request& request, call_options options,
                        on_reply fn);
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -77,6 +77,18 @@
     return gateway::send_failure::malformed;
 }
 
+// Servers may send bytes without end, several of them at once. They get a part
+// of the memory only, which the growth of their buffers may double.
+http::client_options upstream_options(const settings& source)
+{
+    constexpr std::size_t memory_divisor = 8;
+    http::client_options out;
+    if (source.memory_bytes > 0)
+        out.unfinished_bytes = std::min(out.unfinished_bytes,
+                                        source.memory_bytes / memory_divisor);
+    return out;
+}
+
 http::server_limits to_server_limits(const gateway::caller_limits& in)
 {
     return {in.max_header_bytes, in.max_body_bytes, in.header_timeout,
@@ -193,13 +205,15 @@
       read_settings_(std::move(read_settings)),
       gateway_(gateway_options_of(initial)),
       upstream_client_(
-          io_, {.on_sent = [this](auto number) { gateway_.on_sent(number); },
-                .match = [this](auto number, const auto& message)
-                { return match(number, message); },
-                .on_reply = [this](auto number, http::response&& message)
-                { on_reply(number, std::move(message)); },
-                .on_failure = [this](auto number, auto why)
-                { on_failure(number, why); }}),
+          io_,
+          {.on_sent = [this](auto number) { gateway_.on_sent(number); },
+           .match = [this](auto number, const auto& message)
+           { return match(number, message); },
+           .on_reply = [this](auto number, http::response&& message)
+           { on_reply(number, std::move(message)); },
+           .on_failure = [this](auto number, auto why)
+           { on_failure(number, why); }},
+          upstream_options(initial)),
       relay_client_(
           io_, {.on_sent = [this](auto number) { gateway_.on_sent(number); },
                 .on_reply = [this](auto number, http::response&& message)
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -32,6 +32,9 @@
 // What may come for one exchange beside the largest body: heads, interim
 // answers and answers of other requests.
 constexpr std::size_t max_overhead_bytes = std::size_t{64} * 1024;
+// What a parser may leave for later: lines of a head, or the size of a chunk,
+// which have no end in sight beyond that.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 
 response to_response(parser_type::value_type&& message)
 {
@@ -316,7 +319,9 @@
         return false;
     error_code ec;
     const auto outcome = feed(*parser_, in_.pending, ec);
-    if (outcome == parse_outcome::broken)
+    const bool is_endless = outcome == parse_outcome::needs_more &&
+                            in_.pending.size() > max_unparsed_bytes;
+    if (outcome == parse_outcome::broken || is_endless)
         fail(exchange_failure::malformed);
     return outcome == parse_outcome::whole;
 }
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -84,12 +84,15 @@
 public:
     using done = std::function<void(connection&, base::result<http_reply>)>;
     using closed = std::function<void(connection&)>;
+    using counted = std::function<void(std::size_t)>;
 
-    /// `on_idle_end` is called when an idle connection can't be used any more.
+    /// `on_idle_end` is called when an idle connection can't be used any more,
+    /// `on_received` with the number of bytes that came for an exchange.
     connection(cxxtools::SelectorBase& selector, std::string address,
-               host_port target, closed on_idle_end)
+               host_port target, closed on_idle_end, counted on_received)
         : address_(std::move(address)), target_(std::move(target)),
-          on_idle_end_(std::move(on_idle_end)), selector_(selector)
+          on_idle_end_(std::move(on_idle_end)),
+          on_received_(std::move(on_received)), selector_(selector)
     {
         cxxtools::connect(socket_.connected, *this, &connection::on_connected);
         cxxtools::connect(socket_.inputReady, *this, &connection::on_input);
@@ -122,6 +125,14 @@
     bool reusable() const { return reusable_; }
 
     const std::string& address() const { return address_; }
+    /// Bytes that were received in the exchange on it.
+    std::size_t received() const { return received_; }
+    std::size_t forget_received() { return std::exchange(received_, 0); }
+    void fail_as_too_large(std::size_t limit)
+    {
+        fail(base::error_code::too_large, base::step::receive,
+             "more than " + std::to_string(limit) + " bytes were received");
+    }
     std::uint64_t call = 0; ///< the exchange on it, 0 when idle
 
 private:
@@ -214,10 +225,11 @@
         if (!fn_)
             return fail(base::error_code::broken, base::step::receive, "");
         received_ += n;
+        on_received_(n);
+        if (!fn_)
+            return;
         if (received_ > max_exchange_bytes)
-            return fail(base::error_code::too_large, base::step::receive,
-                        "reply is larger than " +
-                            std::to_string(max_exchange_bytes) + " bytes");
+            return fail_as_too_large(max_exchange_bytes);
         unparsed_.append(in_.data(), n);
         if (parse() && is_open_)
             begin_read();
@@ -242,7 +254,7 @@
             const auto n = parser_->put(boost::asio::buffer(unparsed_), ec);
             unparsed_.erase(0, n);
             if (ec == beast_http::error::need_more)
-                return true;
+                return is_line_bounded();
             if (ec)
             {
                 fail(is_limit(ec) ? base::error_code::too_large
@@ -259,6 +271,15 @@
         return true;
     }
 
+    // What the parser leaves is a line of a head, or the size of a chunk.
+    bool is_line_bounded()
+    {
+        if (unparsed_.size() <= max_head_bytes)
+            return true;
+        fail_as_too_large(max_head_bytes);
+        return false;
+    }
+
     bool end_reply()
     {
         reusable_ = parser_->keep_alive() && unparsed_.empty() &&
@@ -308,6 +329,7 @@
     std::string address_;
     host_port target_;
     closed on_idle_end_;
+    counted on_received_;
     cxxtools::SelectorBase& selector_;
     cxxtools::net::TcpSocket socket_;
     std::optional<parser_type> parser_; ///< of the reply that is awaited
@@ -334,11 +356,29 @@
     };
 
     loop& owner;
+    std::size_t max_unfinished;
+    // The sum over all connections of what the exchange on them has received.
+    std::size_t unfinished = 0;
     std::uint64_t last_call = 0;
     std::multimap<std::string, std::unique_ptr<connection>> connections;
     std::map<std::uint64_t, open_call> calls;
 
-    explicit impl(loop& l) : owner(l) {}
+    impl(loop& l, std::size_t m) : owner(l), max_unfinished(m) {}
+
+    // Servers may send without end, several of them at once.
+    void on_received(std::size_t n)
+    {
+        unfinished += n;
+        if (unfinished <= max_unfinished)
+            return;
+        const auto received = [](const auto& item)
+        { return item.second->received(); };
+        const auto largest =
+            std::max_element(connections.begin(), connections.end(),
+                             [&](const auto& a, const auto& b)
+                             { return received(a) < received(b); });
+        largest->second->fail_as_too_large(max_unfinished);
+    }
 
     connection* idle_connection(const std::string& address)
     {
@@ -355,9 +395,9 @@
             return tl::unexpected<base::error>(target.error());
         auto& selector =
             *static_cast<cxxtools::SelectorBase*>(owner.selector());
-        auto made = std::make_unique<connection>(selector, address, *target,
-                                                 [this](connection& gone)
-                                                 { close(gone); });
+        auto made = std::make_unique<connection>(
+            selector, address, *target, [this](connection& gone)
+            { close(gone); }, [this](std::size_t n) { on_received(n); });
         auto* out = made.get();
         connections.emplace(address, std::move(made));
         return out;
@@ -402,6 +442,7 @@
             return;
         const bool keep = reply && conn.reusable();
         conn.call = 0;
+        unfinished -= conn.forget_received();
         if (!keep)
             close(conn);
         finish(call, std::move(reply));
@@ -413,6 +454,7 @@
         if (it == calls.end() || !it->second.conn)
             return;
         it->second.conn->call = 0;
+        unfinished -= it->second.conn->forget_received();
         close(*it->second.conn);
     }
 
@@ -466,7 +508,11 @@
     }
 };
 
-http_client::http_client(loop& owner) : impl_(std::make_unique<impl>(owner)) {}
+http_client::http_client(loop& owner, std::size_t max_unfinished_bytes)
+    : impl_(std::make_unique<impl>(owner, max_unfinished_bytes))
+{
+}
+
 http_client::~http_client() = default;
 
 std::uint64_t http_client::call(const std::string& address,
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -331,6 +331,22 @@
     }
 }
 
+// The size of a chunk without end is given up long before a body would be.
+TEST(client, a_chunk_size_without_end_is_given_up_early)
+{
+    exchange(1, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+    std::size_t sent = 0;
+    for (; !failures.contains(1) && sent < 10'000'000; sent += 16'000)
+    {
+        peer.send(std::string(16'000, 'x'));
+        io.restart();
+        while (io.poll() > 0)
+            ;
+    }
+    CHECK(failures.at(1) == exchange_failure::malformed);
+    CHECK(sent < 500'000);
+}
+
 // Guards against a VM that ends by itself: the length that a server announces
 // was reserved if bytes of the body came with the head, whatever the limit.
 TEST(client, a_body_announced_beyond_the_limit_is_refused)
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -280,3 +281,34 @@
     must_end(chunked, "64\r\n" + x + "\r\n");
     must_end(chunked + "ffffffff\r\n", x);
 }
+
+// Guards against the memory of a VM running out while several servers send
+// bytes without end at once: each call kept its own, up to 20 MB.
+TEST(http_client, the_bytes_of_all_calls_that_go_on_are_bounded)
+{
+    net::http_client bounded(loop, 100'000);
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const raw_server small(head + std::string(40'000, 'x'), after_reply::keep);
+    const raw_server large(head + std::string(90'000, 'x'), after_reply::keep);
+    std::map<std::string, base::error_code> ended;
+    const auto call_one = [&](const raw_server& to)
+    {
+        bounded.call(to.address(), {"GET", "/", "", {}, ""},
+                     {in_ms(1'500), false},
+                     [&, address = to.address()](const reply_result& it)
+                     {
+                         ended[address] = code(it);
+                         if (ended.size() == 2)
+                             loop.post([this] { loop.stop(); });
+                     });
+    };
+    loop.post(
+        [&]
+        {
+            call_one(small);
+            call_one(large);
+        });
+    loop.run();
+    CHECK(ended.at(large.address()) == base::error_code::too_large);
+    CHECK(ended.at(small.address()) == base::error_code::timeout);
+}
