A connection that was refused, or had its last answer, hands out nothing more

Cause: a refusal left the parser as it was, and none of a connection's flags said that nothing more may be handed out. The same let requests run that came after an answer with "Connection: close".

Evidence: the ids that ran are those that were refused, on the same connections; server.no_request_is_both_refused_and_handed_out shows it at each byte, without timing.

Why this works: a connection has one state; requests are handed out while it is `receiving` only, and `lingering` is left only by the end.

--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -51,6 +51,17 @@
     return status_bad_request;
 }
 
+/// What a connection is doing. A refusal by the server itself goes from
+/// `receiving` to `writing`.
+enum class connection_state
+{
+    receiving,  ///< waits for a request, or has a part of one
+    handed_out, ///< the request waits for its answer
+    writing,    ///< the answer, or a refusal
+    lingering,  ///< the last answer is written; what comes is thrown away
+    ended
+};
+
 } // namespace
 
 struct server::impl : std::enable_shared_from_this<server::impl>
@@ -96,11 +107,16 @@
     void answer(const response& reply);
     void sweep(base::instant now);
     void end();
-    bool busy() const { return number_ != 0 || writing_; }
+    bool busy() const
+    {
+        return state_ == connection_state::handed_out ||
+               state_ == connection_state::writing;
+    }
     /// Whether nothing of a request has come since the last answer.
     bool is_idle() const
     {
-        return !busy() && in_.pending.empty() && !parser_->got_some();
+        return state_ == connection_state::receiving && in_.pending.empty() &&
+               !parser_->got_some();
     }
 
     std::size_t index = 0; ///< place in impl::all
@@ -119,10 +135,12 @@
     read_buffer in_;
     std::optional<parser_type> parser_;
     std::string out_;
-    request_number number_ = 0; ///< the request handed out; 0 for none
-    bool keep_alive_ = true;
-    bool writing_ = false;
-    bool ended_ = false;
+    // Requests are handed out while `receiving` only, and `lingering` is never
+    // left but by the end: after a refusal, or an answer that announced the end
+    // of the connection, nothing more is handed out, whatever comes.
+    connection_state state_ = connection_state::receiving;
+    request_number number_ = 0; ///< not 0 while handed_out
+    bool keep_alive_ = true;    ///< after the answer
     base::instant last_use_ = base::now();
 };
 
@@ -137,7 +155,8 @@
 
 void server::impl::connection::read()
 {
-    if (!ended_ && in_.pending.size() <= most_read_ahead)
+    if (state_ != connection_state::ended &&
+        in_.pending.size() <= most_read_ahead)
         in_.read(socket_, [self = shared_from_this()](const error_code& ec,
                                                       std::size_t n)
                  { self->on_read(ec, n); });
@@ -145,7 +164,7 @@
 
 void server::impl::connection::on_read(const error_code& ec, std::size_t n)
 {
-    if (ended_)
+    if (state_ == connection_state::ended)
         return;
     if (ec)
     {
@@ -154,13 +173,15 @@
     }
     owner_->moved.received += n;
     last_use_ = base::now();
+    if (state_ == connection_state::lingering)
+        in_.pending.clear();
     parse();
     read();
 }
 
 void server::impl::connection::parse()
 {
-    while (!ended_ && !busy())
+    while (state_ == connection_state::receiving)
     {
         error_code ec;
         const auto outcome = feed(*parser_, in_.pending, ec);
@@ -178,6 +199,7 @@
     keep_alive_ = parser_->keep_alive();
     auto message = to_request(parser_->release());
     start_parser();
+    state_ = connection_state::handed_out;
     number_ = ++owner_->last_number;
     owner_->open.emplace(number_, shared_from_this());
     owner_->on.on_request(number_, std::move(message));
@@ -197,7 +219,7 @@
 void server::impl::connection::answer(const response& reply)
 {
     number_ = 0;
-    if (ended_)
+    if (state_ != connection_state::handed_out)
         return;
     keep_alive_ = keep_alive_ && !owner_->closing;
     write(serialize(reply, !keep_alive_));
@@ -207,7 +229,7 @@
 {
     owner_->moved.sent += bytes.size();
     out_ = std::move(bytes);
-    writing_ = true;
+    state_ = connection_state::writing;
     write_all(socket_, out_,
               [self = shared_from_this()](const error_code& ec)
               {
@@ -220,17 +242,20 @@
 
 void server::impl::connection::on_written()
 {
-    writing_ = false;
+    if (state_ == connection_state::ended)
+        return;
     out_.clear();
     last_use_ = base::now();
-    if (ended_)
-        return;
     if (!keep_alive_)
     {
         // The caller reads the answer first: only the sending side ends here.
+        state_ = connection_state::lingering;
+        in_.pending.clear();
         close_sending_side(socket_);
+        read();
         return;
     }
+    state_ = connection_state::receiving;
     if (in_.pending.empty())
         return;
     asio::post(socket_.get_executor(),
@@ -243,11 +268,12 @@
 
 void server::impl::connection::sweep(base::instant now)
 {
-    if (ended_ || busy())
+    if (state_ == connection_state::ended || busy())
         return;
     const auto idle = now - last_use_;
     const bool halfway = parser_->got_some();
-    if (!keep_alive_ || idle >= owner_->limits.idle_time)
+    if (state_ == connection_state::lingering ||
+        idle >= owner_->limits.idle_time)
         end();
     else if (halfway && idle >= owner_->limits.header_time)
         refuse(status_request_timeout);
@@ -255,9 +281,9 @@
 
 void server::impl::connection::end()
 {
-    if (ended_)
+    if (state_ == connection_state::ended)
         return;
-    ended_ = true;
+    state_ = connection_state::ended;
     const auto self = shared_from_this();
     close(socket_);
     const auto number = std::exchange(number_, 0);
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -174,3 +174,66 @@
     answer(0, body);
     CHECK(run_until(io, [&] { return caller.got().size() >= body.size(); }));
 }
+
+// Guards against a request that is answered 408, "not run", and runs when the
+// rest of it arrives after all.
+TEST(server, a_request_that_was_refused_is_never_handed_out)
+{
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    io.restart();
+    io.run_for(base::milliseconds(20));
+    server.sweep(std::chrono::steady_clock::now() + base::milliseconds(2'500));
+    expect(" 408 ");
+    caller.send("dyGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    io.restart();
+    io.run_for(base::milliseconds(50));
+    CHECK(requests.empty());
+    server.sweep(std::chrono::steady_clock::now() + base::seconds(6));
+    CHECK(run_until(io, [&] { return server.connections() == 0; }));
+}
+
+// A caller that sends on after an answer that ends the connection gets nothing
+// run: there is no answer any more that could tell it.
+TEST(server, nothing_is_handed_out_after_an_answer_that_ends_the_connection)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for(1);
+    answer(0);
+    expect("Connection: close");
+    caller.send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    io.restart();
+    io.run_for(base::milliseconds(50));
+    LONGS_EQUAL(1, requests.size());
+}
+
+// Any request, cut in two at any byte, with a refusal in between or not: it is
+// refused or handed out, never both.
+TEST(server, no_request_is_both_refused_and_handed_out)
+{
+    const std::vector<std::string> all = {
+        "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"};
+    for (const auto& bytes : all)
+        for (std::size_t n = 1; n < bytes.size(); ++n)
+        {
+            requests.clear();
+            loop_peer one{io};
+            one.connect(at);
+            one.send(bytes.substr(0, n));
+            io.restart();
+            io.run_for(base::milliseconds(2));
+            server.sweep(std::chrono::steady_clock::now() +
+                         base::milliseconds(2'500));
+            one.send(bytes.substr(n) + all[0]);
+            io.restart();
+            io.run_for(base::milliseconds(2));
+            CHECK(run_until(io,
+                            [&] { return !one.got().empty() || one.ended(); }));
+            CHECK(one.got().find(" 408 ") != std::string::npos);
+            CHECK(requests.empty());
+            one.close();
+        }
+}
