A connection is idle only once its whole request is written

Cause: a connection went among the idle ones with its answer, though its request was still being written from a buffer that the next one replaced.

Why this works: a connection has one state, and only `waiting`, which means that the whole request is written, leads to `idle`. Before a kept connection is used again the client looks whether anything came on it, its end included.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -74,6 +74,8 @@
     {
     }
 
+    template <typename Predicate>
+    connection_ptr pop_idle(const tcp::endpoint& to, Predicate may_carry);
     connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since,
                              const std::vector<exchange_number>& earlier);
     void end_carriers(const tcp::endpoint& to,
@@ -91,6 +93,16 @@
     std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
 };
 
+/// What a connection is doing. Answers are read while `writing` and `waiting`.
+enum class connection_state
+{
+    starting, ///< connects, or is about to write: no byte of the request left
+    writing,  ///< a part of the request may still wait to be written
+    waiting,  ///< the whole request is written
+    idle,
+    ended
+};
+
 /// The exchanges that a connection carried, the oldest of which are forgotten.
 class exchange_history
 {
@@ -135,6 +147,8 @@
     std::size_t received() const { return received_; }
     void start(exchange_number number, const request& message);
     void end();
+    /// Whether nothing came on it since its answer, nor the peer's end.
+    bool is_silent();
     /// Whether an answer of one of these exchanges may still come on it.
     bool may_have_carried(const std::vector<exchange_number>& any) const;
     /// Idle for longer than the peer keeps it.
@@ -168,9 +182,12 @@
     exchange_history carried_;
     std::size_t received_ = 0; ///< bytes, in this exchange
     bool is_head_ = false;
-    bool connected_ = false;
+    // Allowed changes: starting, writing, waiting, idle, starting again; from
+    // each to ended. So an idle connection has written its whole request and
+    // read its whole answer, and nothing still refers to `out_`.
+    connection_state state_ = connection_state::starting;
+    bool is_connected_ = false;
     bool reusable_ = true;
-    bool ended_ = false;
     base::milliseconds idle_time_{0};
     base::instant last_use_ = base::now();
 };
@@ -178,6 +195,7 @@
 void client::impl::connection::start(exchange_number number,
                                      const request& message)
 {
+    state_ = connection_state::starting;
     number_ = number;
     carried_.add(number);
     is_head_ = message.method == "HEAD";
@@ -185,7 +203,7 @@
     owner_->moved.sent += out_.size();
     last_use_ = base::now();
     start_parser();
-    if (connected_)
+    if (is_connected_)
         asio::post(owner_->io, [self = shared_from_this()] { self->write(); });
     else
         connect();
@@ -208,14 +226,14 @@
     socket_.async_connect(to_,
                           [self = shared_from_this()](const error_code& ec)
                           {
-                              if (self->ended_)
+                              if (self->state_ == connection_state::ended)
                                   return;
                               if (ec)
                               {
                                   self->fail(exchange_failure::not_sent);
                                   return;
                               }
-                              self->connected_ = true;
+                              self->is_connected_ = true;
                               prepare(self->socket_,
                                       self->owner_->options.unconfirmed_time);
                               self->write();
@@ -224,16 +242,20 @@
 
 void client::impl::connection::write()
 {
-    if (ended_ || number_ == 0)
+    if (state_ != connection_state::starting)
         return;
+    state_ = connection_state::writing;
     const auto number = number_;
     write_all(socket_, out_,
               [self = shared_from_this()](const error_code& ec)
               {
-                  if (ec && !self->ended_)
+                  if (self->state_ != connection_state::writing)
+                      return;
+                  self->state_ = connection_state::waiting;
+                  if (ec)
                       self->fail(exchange_failure::lost);
               });
-    if (ended_)
+    if (state_ == connection_state::ended)
         return;
     read();
     owner_->on.on_sent(number);
@@ -241,7 +263,7 @@
 
 void client::impl::connection::read()
 {
-    if (!ended_)
+    if (state_ != connection_state::ended)
         in_.read(socket_, [self = shared_from_this()](const error_code& ec,
                                                       std::size_t n)
                  { self->on_read(ec, n); });
@@ -249,17 +271,18 @@
 
 void client::impl::connection::on_read(const error_code& ec, std::size_t n)
 {
-    if (ended_)
+    if (state_ == connection_state::ended)
         return;
-    if (ec)
+    // Nothing may come on a connection that waits for no answer.
+    if (state_ == connection_state::idle ||
+        state_ == connection_state::starting)
     {
-        on_end_of_stream(ec);
+        fail(exchange_failure::not_sent);
         return;
     }
-    // Nothing may come on a connection that waits for no answer.
-    if (number_ == 0)
+    if (ec)
     {
-        end();
+        on_end_of_stream(ec);
         return;
     }
     const auto self = shared_from_this();
@@ -289,11 +312,6 @@
 
 void client::impl::connection::on_end_of_stream(const error_code& ec)
 {
-    if (number_ == 0)
-    {
-        end();
-        return;
-    }
     reusable_ = false;
     if (ec == asio::error::eof && parser_->got_some())
     {
@@ -302,7 +320,7 @@
         if (!incomplete && parser_->is_done())
         {
             on_message();
-            if (!ended_ && number_ != 0)
+            if (number_ != 0)
                 fail(exchange_failure::lost);
             return;
         }
@@ -315,7 +333,7 @@
 // Whether a whole response is there.
 bool client::impl::connection::parse()
 {
-    if (ended_ || number_ == 0)
+    if (number_ == 0)
         return false;
     error_code ec;
     const auto outcome = feed(*parser_, in_.pending, ec);
@@ -347,7 +365,9 @@
     case reply_match::belongs:
         break;
     }
-    reusable_ = reusable_ && kept && in_.pending.empty();
+    // A server may answer before it has read the whole request.
+    reusable_ = reusable_ && kept && in_.pending.empty() &&
+                state_ == connection_state::waiting;
     finish(std::move(reply));
 }
 
@@ -361,7 +381,10 @@
     if (const auto stated = stated_idle_time(reply))
         idle_time_ = std::max(*stated - idle_margin, base::milliseconds(0));
     if (reusable_ && idle_time_.count() > 0)
+    {
+        state_ = connection_state::idle;
         owner_->idle[to_].push_back(self);
+    }
     else
         end();
     owner_->on.on_reply(number, std::move(reply));
@@ -379,15 +402,23 @@
 
 void client::impl::connection::end()
 {
-    if (ended_)
+    if (state_ == connection_state::ended)
         return;
-    ended_ = true;
+    state_ = connection_state::ended;
     number_ = 0;
     forget_received();
     close(socket_);
     owner_->remove(shared_from_this());
 }
 
+bool client::impl::connection::is_silent()
+{
+    char byte = 0;
+    error_code ec;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
 bool client::impl::connection::may_have_carried(
     const std::vector<exchange_number>& any) const
 {
@@ -402,24 +433,19 @@
 
 bool client::impl::connection::is_stuck(base::instant now) const
 {
-    return !connected_ && now - last_use_ >= owner_->options.connect_time;
+    return !is_connected_ && now - last_use_ >= owner_->options.connect_time;
 }
 
-// The connection that was in use last, of those that may carry the request.
-client::impl::connection_ptr
-client::impl::take_idle(const tcp::endpoint& to, base::instant used_since,
-                        const std::vector<exchange_number>& earlier)
+// The connection that was in use last, of those that satisfy the predicate.
+template <typename Predicate>
+client::impl::connection_ptr client::impl::pop_idle(const tcp::endpoint& to,
+                                                    Predicate may_carry)
 {
     const auto found = idle.find(to);
     if (found == idle.end())
         return nullptr;
     auto& kept = found->second;
-    const auto it = std::find_if(kept.rbegin(), kept.rend(),
-                                 [&](const connection_ptr& one)
-                                 {
-                                     return one->last_use() >= used_since &&
-                                            !one->may_have_carried(earlier);
-                                 });
+    const auto it = std::find_if(kept.rbegin(), kept.rend(), may_carry);
     if (it == kept.rend())
         return nullptr;
     auto out = *it;
@@ -427,6 +453,21 @@
     return out;
 }
 
+client::impl::connection_ptr
+client::impl::take_idle(const tcp::endpoint& to, base::instant used_since,
+                        const std::vector<exchange_number>& earlier)
+{
+    const auto may_carry = [&](const connection_ptr& it)
+    { return it->last_use() >= used_since && !it->may_have_carried(earlier); };
+    while (auto out = pop_idle(to, may_carry))
+    {
+        if (out->is_silent())
+            return out;
+        out->end();
+    }
+    return nullptr;
+}
+
 // The connection that is opened in their place would come on top of them, at a
 // server that counts connections.
 void client::impl::end_carriers(const tcp::endpoint& to,
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -281,6 +281,26 @@
     CHECK(run_until(io, [&] { return peer.ended(); }));
 }
 
+// Guards against one caller's request that is written into the rest of another
+// one's body: a server may answer before it has read a long body.
+TEST(client, an_answer_before_the_request_is_written_ends_the_connection)
+{
+    loop_peer second{io};
+    peer.accept(acceptor);
+    client.send(1, at, {"POST", "/a", {}, std::string(64 << 20, 'x')});
+    // The peer reads nothing that would make room for the whole request.
+    CHECK(run_until(io, [&] { return peer.accepted(); }));
+    peer.stop_reading();
+    peer.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    wait_for(1);
+    LONGS_EQUAL(503, replies.at(1).status);
+    second.accept(acceptor);
+    client.send(2, at, {"GET", "/b", {}, ""});
+    CHECK(run_until(io, [&] { return !second.got().empty(); }));
+    LONGS_EQUAL(2, client.opened());
+    second.close();
+}
+
 TEST(client, an_announced_close_is_believed)
 {
     exchange(1, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
@@ -402,3 +422,32 @@
     first.close();
     second.close();
 }
+
+// Guards against late bytes that are taken for an answer, and against requests
+// that are lost on a connection which the server has just closed.
+TEST(client, a_kept_connection_on_which_something_came_is_not_used)
+{
+    http::exchange_number n = 0;
+    for (const bool is_closed : {false, true})
+    {
+        loop_peer old{io};
+        old.accept(acceptor);
+        client.send(++n, at, {"GET", "/a", {}, ""});
+        CHECK(run_until(io, [&] { return !old.got().empty(); }));
+        old.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        wait_for(n);
+        if (is_closed)
+            old.close();
+        else
+            old.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+        loop_peer next{io};
+        next.accept(acceptor);
+        client.send(++n, at, {"GET", "/a", {}, ""});
+        CHECK(run_until(io, [&] { return !next.got().empty(); }));
+        next.send("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                  "Content-Length: 3\r\n\r\nnew");
+        wait_for(n);
+        STRCMP_EQUAL("new", replies.at(n).body.c_str());
+        old.close();
+    }
+}
--- a/unittests/http/loop_peer.hpp
+++ b/unittests/http/loop_peer.hpp
@@ -63,6 +63,9 @@
         std::ignore = socket_.close(ignored);
     }
 
+    /// Leaves what comes next in the network.
+    void stop_reading() { reading_ = false; }
+
     bool accepted() const { return accepted_; }
     bool ended() const { return ended_; }
     const std::string& got() const { return got_; }
@@ -80,7 +83,7 @@
                     return;
                 got_.append(buf_.data(), n);
                 ended_ = static_cast<bool>(ec);
-                if (!ended_)
+                if (!ended_ && reading_)
                     start();
             });
     }
@@ -89,6 +92,7 @@
     std::array<char, 4096> buf_{};
     std::string got_;
     bool accepted_ = false;
+    bool reading_ = true;
     bool ended_ = false;
 };
 
