--- a/unittests/platform/store_test.cpp
+++ b/unittests/platform/store_test.cpp
@@ -275,6 +275,36 @@
         }));
 }
 
+// Guards against a number that makes the store's whole answer unreadable, for
+// as long as its entry is there: servers that leave are then not noticed.
+TEST(store, whatever_number_an_entry_holds_the_others_are_read)
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto digits = [](int max)
+            {
+                return std::string(
+                    static_cast<std::size_t>(*rc::gen::inRange(1, max)),
+                    static_cast<char>('0' + *rc::gen::inRange(1, 10)));
+            };
+            std::string number =
+                *rc::gen::element(std::string(), std::string("-"));
+            number += digits(700);
+            if (*rc::gen::arbitrary<bool>())
+                number += "." + digits(700);
+            if (*rc::gen::arbitrary<bool>())
+                number += *rc::gen::element('e', 'E') +
+                          *rc::gen::element(std::string(), std::string("+"),
+                                            std::string("-")) +
+                          digits(5);
+            const auto text = R"([{"k":)" + number + R"(,"l":[)" + number +
+                              R"(,{"m":)" + number + R"(}],"k":)" + number +
+                              R"(},{"whole":1}])";
+            RC_ASSERT(platform::parse_tolerantly(text).at(1).at("whole") == 1);
+        }));
+}
+
 TEST(store, an_encoded_vm_entry_is_decoded_unchanged)
 {
     const gateway::vm_entry vm{"vm 1", "10.0.0.3:70", "z", 4};
