--- a/unittests/soak/faults.cpp
+++ b/unittests/soak/faults.cpp
@@ -25,7 +25,8 @@
     server_leaves,
     configuration_changes,
     store_restored,
-    server_limits
+    server_limits,
+    server_repeats
 };
 
 } // namespace mimosacroft::tests
@@ -33,7 +34,7 @@
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::tests::fault_kind>
 {
-    static constexpr std::array<std::string_view, 16> table = {
+    static constexpr std::array<std::string_view, 17> table = {
         "kill_vm",           "stop_vm",
         "pause_vm",          "signal_settings",
         "silent_settings",   "store_fails",
@@ -41,14 +42,16 @@
         "peer_link_fails",   "server_link_fails",
         "server_fails",      "server_replaced",
         "server_leaves",     "configuration_changes",
-        "store_restored",    "server_limits"};
+        "store_restored",    "server_limits",
+        "server_repeats"};
 };
 
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::tests::link_mode>
 {
-    static constexpr std::array<std::string_view, 6> table = {
-        "passes", "delays", "resets", "is_silent", "loses_back", "corrupts"};
+    static constexpr std::array<std::string_view, 7> table = {
+        "passes",     "delays",   "resets", "is_silent",
+        "loses_back", "corrupts", "repeats"};
 };
 
 template <>
@@ -61,8 +64,8 @@
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::tests::server_mode>
 {
-    static constexpr std::array<std::string_view, 5> table = {
-        "works", "is_slow", "is_dark", "fails", "refuses"};
+    static constexpr std::array<std::string_view, 6> table = {
+        "works", "is_slow", "is_dark", "fails", "refuses", "sheds"};
 };
 
 namespace mimosacroft::tests
@@ -117,11 +120,36 @@
            std::to_string(length.count()) + " ms";
 }
 
+// Bytes come twice only from servers, not from the store or VMs.
+link_mode draw_link_harm(std::minstd_rand& random, bool is_server)
+{
+    auto out = draw_harm<link_mode>(random);
+    while (!is_server && out == link_mode::repeats)
+        out = draw_harm<link_mode>(random);
+    return out;
+}
+
+// A server that rejects some requests and sends its answers twice.
+std::string repeat_answers(world& in, standin_server& it,
+                           std::minstd_rand& random)
+{
+    const auto length = draw_time(random, longest_fault);
+    it.set_mode(server_mode::sheds);
+    it.link().set_mode(link_mode::repeats);
+    in.after(length,
+             [&it]
+             {
+                 it.set_mode(server_mode::works);
+                 it.link().set_mode(link_mode::passes);
+             });
+    return " for " + std::to_string(length.count()) + " ms";
+}
+
 // Harms a link, and mends it after a while.
 std::string harm(world& in, proxy& link, std::minstd_rand& random,
                  bool is_trouble)
 {
-    const auto mode = draw_harm<link_mode>(random);
+    const auto mode = draw_link_harm(random, !is_trouble);
     const auto length = draw_time(random, longest_fault);
     if (is_trouble)
         in.note_trouble(length);
@@ -203,6 +231,8 @@
     case fault_kind::server_limits:
         in.limit_server(server, limited_time);
         return at_server;
+    case fault_kind::server_repeats:
+        return at_server + repeat_answers(in, in.server(server), random);
     }
     return {};
 }
--- a/unittests/soak/proxy.cpp
+++ b/unittests/soak/proxy.cpp
@@ -16,6 +16,7 @@
 using http::tcp;
 
 constexpr base::milliseconds delay{150};
+constexpr base::milliseconds repeat_delay{4};
 constexpr std::size_t buffer_size = 16384;
 
 } // namespace
@@ -47,6 +48,7 @@
     void pump(const pair_ptr& it, bool back);
     void pass(const pair_ptr& it, bool back, std::string bytes);
     void write(const pair_ptr& it, bool back, std::string bytes);
+    void repeat_later(const pair_ptr& it, std::string bytes);
     static void end(const pair_ptr& it, bool reset);
     void end_all();
 
@@ -129,6 +131,8 @@
         end(it, false);
         return;
     }
+    if (mode == link_mode::repeats && back)
+        repeat_later(it, bytes);
     if (mode != link_mode::delays)
     {
         write(it, back, std::move(bytes));
@@ -140,6 +144,20 @@
                       { self->write(it, back, late); });
 }
 
+void proxy::impl::repeat_later(const pair_ptr& it, std::string bytes)
+{
+    const auto timer =
+        std::make_shared<http::asio::steady_timer>(io, repeat_delay);
+    timer->async_wait(
+        [it, timer, copy = std::move(bytes)](const error_code&)
+        {
+            // A connection that is gone gets no copy.
+            error_code ignored;
+            std::ignore =
+                it->near.write_some(http::asio::buffer(copy), ignored);
+        });
+}
+
 void proxy::impl::write(const pair_ptr& it, bool back, std::string bytes)
 {
     const auto kept = std::make_shared<std::string>(std::move(bytes));
--- a/unittests/soak/proxy.hpp
+++ b/unittests/soak/proxy.hpp
@@ -17,7 +17,8 @@
     resets,     ///< ends all connections, and each new one
     is_silent,  ///< takes everything and passes nothing, either way
     loses_back, ///< passes what is sent, and nothing that comes back
-    corrupts    ///< cuts what comes back in the middle and ends there
+    corrupts,   ///< cuts what comes back in the middle and ends there
+    repeats     ///< what comes back comes a second time, a little later
 };
 
 class proxy
--- a/unittests/soak/standin_server.cpp
+++ b/unittests/soak/standin_server.cpp
@@ -60,13 +60,14 @@
                        make_not_executed_reply(question, status_misdirected));
         return;
     }
-    const bool runs = mode_ != server_mode::refuses;
+    const bool runs = !rejects_next();
     seen_.arrivals.push_back(
         {base::now(), question.id, entry_.service, entry_.id, runs});
     if (!runs)
     {
         auto reply = make_not_executed_reply(question, status_unavailable);
-        state_pause(reply, soak_pause);
+        if (mode_ == server_mode::refuses)
+            state_pause(reply, soak_pause);
         answer(number, std::move(reply));
     }
     else if (mode_ == server_mode::fails)
@@ -75,6 +76,13 @@
         finish(number, question);
 }
 
+bool standin_server::rejects_next()
+{
+    if (mode_ == server_mode::sheds)
+        return ++shed_requests_ % 2 == 0;
+    return mode_ == server_mode::refuses;
+}
+
 void standin_server::answer(http::request_number number, http::response reply)
 {
     if (limit_ > 0)
--- a/unittests/soak/standin_server.hpp
+++ b/unittests/soak/standin_server.hpp
@@ -19,7 +19,8 @@
     is_slow,
     is_dark, ///< runs requests and never answers
     fails,   ///< runs requests and answers 500
-    refuses  ///< runs nothing, says so, and wants nothing for soak_pause
+    refuses, ///< runs nothing, says so, and wants nothing for soak_pause
+    sheds    ///< runs every other request, and says so of the others
 };
 
 class standin_server
@@ -45,6 +46,8 @@
     void on_request(http::request_number number, const http::request& message);
     void answer(http::request_number number, http::response reply);
     void finish(http::request_number number, const received_request& question);
+    /// Whether the next request is rejected.
+    bool rejects_next();
 
     http::asio::io_context& io_;
     ledger& seen_;
@@ -52,6 +55,7 @@
     server_mode mode_ = server_mode::works;
     int replaced_ = 0;
     double limit_ = 0;
+    std::size_t shed_requests_ = 0; ///< taken and rejected ones while it sheds
     http::server server_;
     proxy link_;
 };
