--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -68,7 +68,7 @@
     {
         /// Only a connection that was in use until less than this ago, else a
         /// new one: an old one may be gone already, without a sign of it.
-        base::milliseconds most_idle = base::milliseconds::max();
+        base::milliseconds max_idle = base::milliseconds::max();
         /// Exchanges in which the same request was sent before. Their answers
         /// bear its id as well, and a second copy of one may still come. So no
         /// connection is used that carried, or may have carried, one of them.
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -350,7 +350,7 @@
     sent_requests_.emplace(effect.number, effect.request);
     http::client::send_options options;
     if (!effect.may_repeat)
-        options.most_idle = max_idle_for_unrepeatable_sends;
+        options.max_idle = max_idle_for_unrepeatable_sends;
     options.earlier = effect.earlier;
     upstream_client_.send(effect.number, *to, platform::encode_request(effect),
                           options);
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -152,9 +152,9 @@
     /// Whether an answer of one of these exchanges may still come on it.
     bool may_have_carried(const std::vector<exchange_number>& any) const;
     /// Idle for longer than the peer keeps it.
-    bool is_worn(base::instant now) const;
+    bool is_expired(base::instant now) const;
     /// Takes too long to connect.
-    bool is_stuck(base::instant now) const;
+    bool is_connect_overdue(base::instant now) const;
     void fail(exchange_failure why);
 
 private:
@@ -426,12 +426,12 @@
                                { return carried_.may_contain(number); });
 }
 
-bool client::impl::connection::is_worn(base::instant now) const
+bool client::impl::connection::is_expired(base::instant now) const
 {
     return now - last_use_ >= idle_time_;
 }
 
-bool client::impl::connection::is_stuck(base::instant now) const
+bool client::impl::connection::is_connect_overdue(base::instant now) const
 {
     return !is_connected_ && now - last_use_ >= owner_->options.connect_time;
 }
@@ -525,9 +525,9 @@
                   const request& message, const send_options& options)
 {
     const auto now = base::now();
-    const auto used_since = options.most_idle == base::milliseconds::max()
+    const auto used_since = options.max_idle == base::milliseconds::max()
                                 ? base::instant::min()
-                                : now - options.most_idle;
+                                : now - options.max_idle;
     auto it = impl_->take_idle(to, used_since, options.earlier);
     if (!it)
     {
@@ -550,18 +550,18 @@
 
 void client::sweep(base::instant now)
 {
-    std::vector<impl::connection_ptr> worn;
+    std::vector<impl::connection_ptr> expired;
     for (const auto& [peer, kept] : impl_->idle)
-        std::ranges::copy_if(kept, std::back_inserter(worn),
+        std::ranges::copy_if(kept, std::back_inserter(expired),
                              [now](const auto& it)
-                             { return it->is_worn(now); });
-    std::vector<impl::connection_ptr> stuck;
+                             { return it->is_expired(now); });
+    std::vector<impl::connection_ptr> overdue;
     for (const auto& [number, it] : impl_->busy)
-        if (it->is_stuck(now))
-            stuck.push_back(it);
+        if (it->is_connect_overdue(now))
+            overdue.push_back(it);
     // Each of these changes the lists.
-    std::ranges::for_each(worn, [](const auto& it) { it->end(); });
-    std::ranges::for_each(stuck, [](const auto& it)
+    std::ranges::for_each(expired, [](const auto& it) { it->end(); });
+    std::ranges::for_each(overdue, [](const auto& it)
                           { it->fail(exchange_failure::not_sent); });
 }
 
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -23,7 +23,7 @@
 
 // A caller that sends on while its request is worked on is read no further
 // than this; what it sends then waits in the network.
-constexpr std::size_t most_read_ahead = std::size_t{64} * 1024;
+constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
 constexpr base::milliseconds unconfirmed_limit{10'000};
 
 constexpr unsigned status_bad_request = 400;
@@ -156,7 +156,7 @@
 void server::impl::connection::read()
 {
     if (state_ != connection_state::ended &&
-        in_.pending.size() <= most_read_ahead)
+        in_.pending.size() <= max_read_ahead)
         in_.read(socket_, [self = shared_from_this()](const error_code& ec,
                                                       std::size_t n)
                  { self->on_read(ec, n); });
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -73,7 +73,8 @@
     wait_for(1);
     loop_peer second{io};
     second.accept(acceptor);
-    client.send(2, at, {"GET", "/a", {}, ""}, {base::milliseconds(0)});
+    client.send(2, at, {"GET", "/a", {}, ""},
+                {.max_idle = base::milliseconds(0)});
     CHECK(run_until(io, [&] { return second.accepted(); }));
     LONGS_EQUAL(2, client.opened());
 }
