--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -72,7 +72,7 @@
         /// Exchanges in which the same request was sent before. Their answers
         /// bear its id as well, and a second copy of one may still come. So no
         /// connection is used that carried, or may have carried, one of them.
-        std::vector<exchange_number> earlier;
+        std::vector<exchange_number> earlier = {};
     };
 
     /// Sends a request on a kept connection or a new one. Nothing is called
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -62,37 +62,6 @@
     return base::seconds(*seconds);
 }
 
-} // namespace
-
-struct client::impl : std::enable_shared_from_this<client::impl>
-{
-    class connection;
-    using connection_ptr = std::shared_ptr<connection>;
-
-    impl(asio::io_context& i, handlers h, client_options o)
-        : io(i), on(std::move(h)), options(o)
-    {
-    }
-
-    template <typename Predicate>
-    connection_ptr pop_idle(const tcp::endpoint& to, Predicate may_carry);
-    connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since,
-                             const std::vector<exchange_number>& earlier);
-    void end_carriers(const tcp::endpoint& to,
-                      const std::vector<exchange_number>& earlier);
-    void remove(const connection_ptr& it);
-    void fail_largest_if_full();
-
-    asio::io_context& io;
-    handlers on;
-    client_options options;
-    std::uint64_t opened = 0;
-    traffic moved;
-    std::size_t unfinished = 0; ///< bytes received by the busy connections
-    std::unordered_map<exchange_number, connection_ptr> busy;
-    std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
-};
-
 /// What a connection is doing. Answers are read while `writing` and `waiting`.
 enum class connection_state
 {
@@ -133,6 +102,37 @@
     std::deque<exchange_number> latest_; ///< ascending
 };
 
+} // namespace
+
+struct client::impl : std::enable_shared_from_this<client::impl>
+{
+    class connection;
+    using connection_ptr = std::shared_ptr<connection>;
+
+    impl(asio::io_context& i, handlers h, client_options o)
+        : io(i), on(std::move(h)), options(o)
+    {
+    }
+
+    template <typename Predicate>
+    connection_ptr pop_idle(const tcp::endpoint& to, Predicate may_carry);
+    connection_ptr take_idle(const tcp::endpoint& to, base::instant used_since,
+                             const std::vector<exchange_number>& earlier);
+    void end_carriers(const tcp::endpoint& to,
+                      const std::vector<exchange_number>& earlier);
+    void remove(const connection_ptr& it);
+    void fail_largest_if_full();
+
+    asio::io_context& io;
+    handlers on;
+    client_options options;
+    std::uint64_t opened = 0;
+    traffic moved;
+    std::size_t unfinished = 0; ///< bytes received by the busy connections
+    std::unordered_map<exchange_number, connection_ptr> busy;
+    std::map<tcp::endpoint, std::vector<connection_ptr>> idle;
+};
+
 class client::impl::connection
     : public std::enable_shared_from_this<client::impl::connection>
 {
