--- a/unittests/platform/settings_file_test.cpp
+++ b/unittests/platform/settings_file_test.cpp
@@ -63,6 +63,19 @@
               .has_value());
 }
 
+// Guards against a bound on answers that is no number, or none at all.
+TEST(settings_file, memory_that_is_no_amount_counts_as_not_stated)
+{
+    for (const auto* odd : {".nan", "-1", "0", "-.inf"})
+    {
+        auto text = complete_file;
+        text.replace(text.find("160"), 3, odd);
+        const auto settings = platform::parse_settings(text, "f");
+        CHECK(settings.has_value());
+        LONGS_EQUAL(0, settings->memory_bytes);
+    }
+}
+
 TEST(settings_file, malformed_text_is_an_error_that_names_the_file)
 {
     for (const char* text :
