--- a/unittests/support/process.hpp
+++ b/unittests/support/process.hpp
@@ -53,6 +53,8 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
+    pid_t id() const { return pid_; }
+
     void signal(int number) const { ::kill(pid_, number); }
 
     /// Whether it ended by itself, and was not waited for.
