A message of a VM names each shard once, and no more than there are

What was seen: one message of 1.4 MB at the port for VMs, which names one shard 200,000 times, makes the process take some 80 MB until its deadline; five of them 435,982 kB. A caller that reaches that port ends the process. Cause: the gateway made the state of a part for each name in the message, without asking whether a shard was named before. Why it works: names are checked against the search's shards, each once, before anything is made for them. A msgpack body may state no more elements than it has bytes, nor be nested deeper than 16.

--- a/include/mimosacroft/entry/msgpack_body.hpp
+++ b/include/mimosacroft/entry/msgpack_body.hpp
@@ -19,13 +19,19 @@
     return {buffer.data(), buffer.size()};
 }
 
-/// Errors: invalid, if the bytes are not msgpack or don't fit `Message`.
+/// Errors: invalid, if the bytes are not msgpack or don't fit `Message`. The
+/// bytes may state any length for what follows, but no more than there are of
+/// them is made room for.
 template <typename Message>
 base::result<Message> unpack(const std::string& bytes)
 {
     try
     {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        constexpr std::size_t max_depth = 16;
+        const auto n = bytes.size();
+        const auto handle =
+            msgpack::unpack(bytes.data(), n, nullptr, nullptr,
+                            msgpack::unpack_limit(n, n, n, n, n, max_depth));
         return handle.get().as<Message>();
     }
     catch (const std::exception& error)
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -6,6 +6,7 @@
 #include "mimosacroft/base/stable_hash.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace mimosacroft::gateway
 {
@@ -28,6 +29,19 @@
 // instead.
 constexpr double unknown_fallback_share = 0.6;
 
+// A message may name anything; what is kept for a shard takes more memory than
+// its name.
+bool names_each_shard_once(const std::vector<std::uint32_t>& shards,
+                           std::size_t count)
+{
+    if (shards.empty() || shards.size() > count)
+        return false;
+    auto sorted = shards;
+    std::ranges::sort(sorted);
+    return sorted.back() < count &&
+           std::ranges::adjacent_find(sorted) == sorted.end();
+}
+
 } // namespace
 
 // When relayed shards are also requested directly: late enough that the work is
@@ -164,10 +178,8 @@
                            : nullptr;
     take_news(request.news, now, out);
     const bool known =
-        found && !request.shards.empty() &&
-        request.servers.size() == request.shards.size() &&
-        std::ranges::all_of(request.shards, [&found](std::uint32_t n)
-                            { return n < found->shards.size(); });
+        found && names_each_shard_once(request.shards, found->shards.size()) &&
+        request.servers.size() == request.shards.size();
     if (!known)
     {
         out.answers.push_back(
--- a/unittests/gateway/relay_test.cpp
+++ b/unittests/gateway/relay_test.cpp
@@ -172,6 +172,24 @@
     }
 }
 
+// What is kept for a shard takes far more memory than its name in a message.
+TEST(relay, a_request_that_names_shards_again_and_again_is_declined)
+{
+    for (const std::size_t names : {2U, 9U, 200'000U})
+    {
+        gateway::relayed_request request;
+        request.shards.resize(names, 1);
+        request.servers.resize(names, tags({"x1", "y1"}));
+        request.request =
+            gateway_harness::request("/all/q", milliseconds(1'000));
+        request.version = 1;
+        gateway::effects out;
+        b.subject.open_relayed(50, std::move(request), b.now, out);
+        CHECK(
+            std::holds_alternative<gateway::declined>(out.answers.at(0).reply));
+    }
+}
+
 // The VM that received a request and its relay may both send a part. Together
 // they must not use more servers than the search allows.
 TEST(relay, both_vms_use_the_same_servers_of_a_shard)
