What callers may make an entry VM hold is bounded over all connections

What callers saw: clients that nobody controls send many unfinished bodies at once; the process exceeds its VM's memory and ends, with the requests of all. Cause: each limit was one for a connection, and nothing bounded their number; bodies were copied for each server; the time of a head, body or answer began anew with each byte, or never ran; sends were bounded for one server only. Why it works: one budget of bytes for all servers of the process, from its memory, counts what each connection takes, and the one that holds most for longest is released first; a request that is handed out never is, so that "not run" stays true. Connections have a number for each port, from memory and descriptors, and what the kernel may receive on each is set. Bodies are shared. Each state of a connection ends.

--- a/include/mimosacroft/core/events.hpp
+++ b/include/mimosacroft/core/events.hpp
@@ -20,6 +20,7 @@
     settings_read = 104,
     lines_left_out = 105,
     metrics_unavailable = 106,
+    callers_turned_away = 107,
     handler_failed = 110,
     peer_draining = 111,
     // 200 to 299: queries at their root.
@@ -104,6 +105,7 @@
     {event_id::settings_read, severity::info, "settings_read"},
     {event_id::lines_left_out, severity::warning, "lines_left_out"},
     {event_id::metrics_unavailable, severity::warning, "metrics_unavailable"},
+    {event_id::callers_turned_away, severity::warning, "callers_turned_away"},
     {event_id::handler_failed, severity::error, "handler_failed"},
     {event_id::peer_draining, severity::info, "peer_draining"},
     {event_id::query_finished, severity::info, "query_finished"},
--- a/include/mimosacroft/entry/entry_metrics.hpp
+++ b/include/mimosacroft/entry/entry_metrics.hpp
@@ -8,6 +8,7 @@
 #include "mimosacroft/entry/store_watch.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
 #include "mimosacroft/http/message.hpp"
+#include "mimosacroft/http/server_budget.hpp"
 
 #include <string>
 
@@ -27,6 +28,9 @@
     void collect(const gateway::gateway& source, base::instant now);
     void collect(const store_watch& source, base::instant now);
     void collect(const event_writer& source);
+    void collect(const http::server_budget& source);
+    /// Connections at one of the ports now.
+    void collect_accepted(const std::string& port, std::size_t connections);
     void collect_traffic(const std::string& peer,
                          const http::traffic& transferred);
     void collect_connections(const std::string& peer, std::uint64_t opened);
--- a/include/mimosacroft/entry/settings.hpp
+++ b/include/mimosacroft/entry/settings.hpp
@@ -38,6 +38,9 @@
     base::milliseconds stop_grace{5'000};
     /// Memory that the process may use; 0 if that is not stated.
     std::size_t memory_bytes = 0;
+    /// Descriptors that the process may have for sockets; 0 if that is not
+    /// stated.
+    std::size_t sockets = 0;
 
     bool operator==(const settings&) const = default;
 };
--- a/include/mimosacroft/entry/spread_server.hpp
+++ b/include/mimosacroft/entry/spread_server.hpp
@@ -31,6 +31,9 @@
     /// The other VM closed its connection: drops its request.
     void on_leave(http::request_number number);
 
+    /// Answers a held request at once, without objects if there are none yet.
+    void give_up(http::request_number number);
+
     /// Answers held requests for objects of `kind` that can be answered now. To
     /// be called when such objects may have changed.
     void answer_waiting(const std::string& kind, base::instant now);
--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "mimosacroft/gateway/server_pool.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -37,6 +38,9 @@
     arrival_budget_options extra;
     std::uint32_t seed = 1; ///< of the random number generator
     mechanisms use;
+    /// Sends to servers at once. A request that needs more is refused before
+    /// anything is sent.
+    std::size_t max_exchanges = std::numeric_limits<std::size_t>::max();
 };
 
 /// The times of a planned stop of this VM.
@@ -96,6 +100,8 @@
                         base::instant now, effects& out);
     /// Handles a caller that closed its connection before the answer.
     void on_caller_left(query_number number, base::instant now, effects& out);
+    /// Answers a query now, with what there is: the process needs the room.
+    void give_up(query_number number, base::instant now, effects& out);
 
     /// Records that the request of an exchange was written to its connection.
     void on_sent(exchange_number number);
@@ -177,6 +183,8 @@
                       base::instant due) const;
     bool can_be_sent(const query& q, const part& p, bool may_relay,
                      base::instant now);
+    void cancel_soon(const query& q, base::instant now);
+    bool has_room_for(const query& q) const;
     bool has_permits(const query& q, bool may_relay, base::instant now);
     void start_query(query&& q, base::instant now, effects& out);
     void send_query(query& q, base::instant now, effects& out);
--- a/include/mimosacroft/http/asio.hpp
+++ b/include/mimosacroft/http/asio.hpp
@@ -29,6 +29,15 @@
 /// `unconfirmed`, which is how a silent peer shows.
 void prepare(tcp::socket& socket, base::milliseconds unconfirmed);
 
+/// Bytes that the kernel takes for a connection that is not read from. It
+/// counts about twice as much for its own needs.
+inline constexpr int receive_buffer_bytes = 16 * 1024;
+
+/// Listens at an address, with bounds on what the kernel receives for callers:
+/// the connections that wait to be accepted, and receive_buffer_bytes on each.
+/// Throws boost::system::system_error if the address can't be listened on.
+void listen(tcp::acceptor& acceptor, const tcp::endpoint& at);
+
 /// Ends a connection. One that is gone already needs no end.
 void close(tcp::socket& socket);
 /// Takes no more connections.
--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -44,6 +44,9 @@
     base::milliseconds idle_time{20'000}; ///< where the peer states none
     base::milliseconds connect_time{1'000};
     base::milliseconds unconfirmed_time{3'000}; ///< sent bytes without an ack
+    /// At once. Beyond that the one that has been idle for longest is ended; if
+    /// none is, an exchange fails as not sent.
+    std::size_t connections = 65'536;
 };
 
 class client
@@ -73,6 +76,9 @@
         /// bear its id as well, and a second copy of one may still come. So no
         /// connection is used that carried, or may have carried, one of them.
         std::vector<exchange_number> earlier = {};
+        /// The request's body, if other requests share it; its own is not sent
+        /// then.
+        shared_body body = nullptr;
     };
 
     /// Sends a request on a kept connection or a new one. Nothing is called
--- a/include/mimosacroft/http/message.hpp
+++ b/include/mimosacroft/http/message.hpp
@@ -2,7 +2,9 @@
 #ifndef MIMOSACROFT_HTTP_MESSAGE_HPP
 #define MIMOSACROFT_HTTP_MESSAGE_HPP
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +47,9 @@
     std::string body;
 };
 
+/// The body of a request that several messages share.
+using shared_body = std::shared_ptr<const std::string>;
+
 struct response
 {
     unsigned status = 0;
@@ -55,6 +60,12 @@
 /// A request as bytes; the length of its body is added.
 std::string serialize(const request& it);
 
+/// The head of a request whose body has this length, with its empty line.
+std::string serialize_head(const request& it, std::size_t body_size);
+
+/// The memory that a message takes, its bytes and what they are kept in.
+std::size_t memory_of(const request& it);
+
 /// A response as bytes; the length of its body is added.
 /// `close` announces that the connection ends after it.
 std::string serialize(const response& it, bool close);
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/entry/connection_limits.hpp"
 #include "mimosacroft/entry/entry_metrics.hpp"
 #include "mimosacroft/entry/event_writer.hpp"
 #include "mimosacroft/entry/relay_codec.hpp"
@@ -11,6 +12,7 @@
 #include "mimosacroft/entry/store_feed.hpp"
 #include "mimosacroft/gateway/gateway.hpp"
 #include "mimosacroft/http/client.hpp"
+#include "mimosacroft/http/process_limits.hpp"
 #include "mimosacroft/http/server.hpp"
 #include "platform/messages.hpp"
 
@@ -37,6 +39,8 @@
 
 constexpr milliseconds sweep_period{250};
 constexpr milliseconds reload_period{2'000};
+// A crowd that doesn't behave may be turned away thousands of times a second.
+constexpr milliseconds turned_away_report_period{1'000};
 // Callers are still accepted for this long after a stop signal. The load
 // balancer probes readiness once a second, and new callers arrive until two
 // probes have found this VM not ready.
@@ -52,7 +56,16 @@
 // used within this time, or on a new one.
 constexpr milliseconds max_idle_for_unrepeatable_sends{400};
 
-gateway::gateway_options gateway_options_of(const settings& source)
+http::process_limits limits_of(const settings& source)
+{
+    const auto allowed = http::allowed_sockets();
+    return http::limits_for(
+        source.memory_bytes,
+        source.sockets > 0 ? std::min(source.sockets, allowed) : allowed);
+}
+
+gateway::gateway_options gateway_options_of(const settings& source,
+                                            std::size_t max_exchanges)
 {
     gateway::gateway_options out;
     out.data_centre = source.data_centre;
@@ -60,6 +73,7 @@
     out.extra = source.extra;
     out.use = source.use;
     out.seed = base::random_seed();
+    out.max_exchanges = max_exchanges;
     return out;
 }
 
@@ -77,22 +91,47 @@
     return gateway::send_failure::malformed;
 }
 
-// Servers may send bytes without end, several of them at once. They get a part
-// of the memory only, which the growth of their buffers may double.
-http::client_options upstream_options(const settings& source)
+// Servers may send bytes without end, several of them at once.
+http::client_options upstream_options(const http::process_limits& limits,
+                                      std::size_t connections)
+{
+    http::client_options out;
+    out.unfinished_bytes = limits.unfinished_answer_bytes;
+    out.connections = connections;
+    return out;
+}
+
+http::client_options relay_options(std::size_t connections)
 {
-    constexpr std::size_t memory_divisor = 8;
     http::client_options out;
-    if (source.memory_bytes > 0)
-        out.unfinished_bytes = std::min(out.unfinished_bytes,
-                                        source.memory_bytes / memory_divisor);
+    out.connections = connections;
+    return out;
+}
+
+http::server_limits limits_at_start(std::size_t connections)
+{
+    http::server_limits out;
+    out.connections = connections;
     return out;
 }
 
-http::server_limits to_server_limits(const gateway::caller_limits& in)
+http::server_limits to_server_limits(const gateway::caller_limits& in,
+                                     std::size_t connections)
 {
     return {in.max_header_bytes, in.max_body_bytes, in.header_timeout,
-            in.idle_timeout};
+            in.idle_timeout, connections};
+}
+
+// A relayed request holds a caller's request and what was decided about it.
+http::server_limits to_peer_limits(const gateway::caller_limits& in,
+                                   std::size_t connections)
+{
+    auto out = limits_at_start(connections);
+    constexpr std::size_t overhead_bytes = std::size_t{256} * 1024;
+    out.body_bytes =
+        std::max(out.body_bytes,
+                 in.max_body_bytes + in.max_header_bytes + overhead_bytes);
+    return out;
 }
 
 http::tcp::endpoint endpoint_or_throw(const std::string& address)
@@ -128,10 +167,13 @@
     void listen_to_peers();
     void listen_for_metrics();
     store_feed::handlers feed_handlers();
+    void apply_limits(const gateway::caller_limits& callers);
 
     void on_caller_request(http::request_number number,
                            http::request&& message);
     void on_leave(http::request_number number);
+    /// Answers a request with what there is.
+    void give_up(gateway::query_number number);
     void on_peer_request(http::request_number number, http::request&& message);
     void on_peer_reply(http::exchange_number number, http::response&& message);
     void on_reply(http::exchange_number number, http::response&& message);
@@ -163,6 +205,8 @@
     void reload();
     void await_signal();
     void on_signal(int number);
+    /// Reports callers that were turned away since the last report.
+    void report_turned_away();
     bool is_ready() const;
     /// Ends the event loop once min_drain_time has passed and no request is in
     /// flight, at the latest at forced_stop_at_.
@@ -171,6 +215,10 @@
     instant sweep_after(instant now) const;
 
     settings settings_;
+    const http::process_limits limits_;
+    const connection_limits connections_;
+    std::shared_ptr<http::server_budget> budget_; ///< of all servers
+    instant next_turned_away_report_{};
     event_writer log_;
     entry_metrics metrics_;
     settings_reader read_settings_;
@@ -201,9 +249,11 @@
 };
 
 daemon::daemon(const settings& initial, settings_reader read_settings)
-    : settings_(initial), log_(STDOUT_FILENO, initial.vm),
-      read_settings_(std::move(read_settings)),
-      gateway_(gateway_options_of(initial)),
+    : settings_(initial), limits_(limits_of(initial)),
+      connections_(share_out(limits_)),
+      budget_(std::make_shared<http::server_budget>(limits_.budget_bytes)),
+      log_(STDOUT_FILENO, initial.vm), read_settings_(std::move(read_settings)),
+      gateway_(gateway_options_of(initial, connections_.admitted_sends)),
       upstream_client_(
           io_,
           {.on_sent = [this](auto number) { gateway_.on_sent(number); },
@@ -213,13 +263,15 @@
            { on_reply(number, std::move(message)); },
            .on_failure = [this](auto number, auto why)
            { on_failure(number, why); }},
-          upstream_options(initial)),
+          upstream_options(limits_, connections_.servers)),
       relay_client_(
-          io_, {.on_sent = [this](auto number) { gateway_.on_sent(number); },
-                .on_reply = [this](auto number, http::response&& message)
-                { on_peer_reply(number, std::move(message)); },
-                .on_failure = [this](auto number, auto why)
-                { on_failure(number, why); }}),
+          io_,
+          {.on_sent = [this](auto number) { gateway_.on_sent(number); },
+           .on_reply = [this](auto number, http::response&& message)
+           { on_peer_reply(number, std::move(message)); },
+           .on_failure = [this](auto number, auto why)
+           { on_failure(number, why); }},
+          relay_options(connections_.relays)),
       store_feed_(io_, initial, gateway_, log_, feed_handlers()),
       spread_server_(store_feed_.watches(),
                      [this](auto number, const auto& reply)
@@ -232,11 +284,14 @@
                                  number,
                                  platform::encode_readiness(is_ready()));
                          },
-                         .on_leave = [](auto) {}}),
+                         .on_leave = [](auto) {}},
+                        limits_at_start(connections_.readiness), budget_),
       caller_server_(io_, endpoint_or_throw(initial.caller_address),
                      {.on_request = [this](auto number, http::request&& message)
                       { on_caller_request(number, std::move(message)); },
-                      .on_leave = [this](auto number) { on_leave(number); }}),
+                      .on_leave = [this](auto number) { on_leave(number); },
+                      .on_give_up = [this](auto number) { give_up(number); }},
+                     limits_at_start(connections_.callers), budget_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_)
 {
     if (!initial.peer_address.empty())
@@ -257,7 +312,14 @@
             {
                 spread_server_.on_leave(number);
                 on_leave(number | peer_request_bit);
-            }});
+            },
+            .on_give_up =
+                [this](auto number)
+            {
+                spread_server_.give_up(number);
+                give_up(number | peer_request_bit);
+            }},
+        limits_at_start(connections_.peers), budget_);
 }
 
 // A metrics address that can't be listened on, such as one whose port is taken,
@@ -271,7 +333,8 @@
             http::server::handlers{
                 .on_request = [this](auto number, http::request&& message)
                 { on_metrics_request(number, message); },
-                .on_leave = [](auto) {}});
+                .on_leave = [](auto) {}},
+            limits_at_start(connections_.metrics), budget_);
     }
     catch (const boost::system::system_error& ex)
     {
@@ -285,7 +348,7 @@
 {
     store_feed::handlers out;
     out.on_catalog = [this](const gateway::catalog& it)
-    { caller_server_.set_limits(to_server_limits(it.limits())); };
+    { apply_limits(it.limits()); };
     out.on_servers = [this]
     {
         run_gateway_step([&](auto& effects)
@@ -299,6 +362,13 @@
     return out;
 }
 
+void daemon::apply_limits(const gateway::caller_limits& callers)
+{
+    caller_server_.set_limits(to_server_limits(callers, connections_.callers));
+    if (peer_server_)
+        peer_server_->set_limits(to_peer_limits(callers, connections_.peers));
+}
+
 template <typename Fn>
 void daemon::run_gateway_step(Fn step)
 {
@@ -352,16 +422,27 @@
     if (!effect.may_repeat)
         options.max_idle = max_idle_for_unrepeatable_sends;
     options.earlier = effect.earlier;
+    // One copy of the body, whatever the number of servers.
+    const auto& body = effect.request->message.body;
+    if (!body.empty())
+        options.body = http::shared_body(effect.request, &body);
     upstream_client_.send(effect.number, *to, platform::encode_request(effect),
                           options);
 }
 
 void daemon::relay(const gateway::relay_effect& effect)
 {
-    if (const auto to = http::endpoint_of(effect.address))
-        relay_client_.send(effect.number, *to, encode_relay(effect));
-    else
+    const auto to = http::endpoint_of(effect.address);
+    if (!to)
+    {
         fail_unsent(effect.number);
+        return;
+    }
+    auto message = encode_relay(effect);
+    http::client::send_options options;
+    options.body =
+        std::make_shared<const std::string>(std::exchange(message.body, {}));
+    relay_client_.send(effect.number, *to, message, options);
 }
 
 // For an address that can't be used. Later, since the gateway's effects are
@@ -399,6 +480,12 @@
                      { gateway_.on_caller_left(number, base::now(), out); });
 }
 
+void daemon::give_up(gateway::query_number number)
+{
+    run_gateway_step([&](auto& out)
+                     { gateway_.give_up(number, base::now(), out); });
+}
+
 void daemon::on_peer_request(http::request_number number,
                              http::request&& message)
 {
@@ -493,6 +580,12 @@
     metrics_.collect_traffic("servers", upstream_client_.moved());
     metrics_.collect_traffic("vms asked", relay_client_.moved());
     metrics_.collect_traffic("callers", caller_server_.moved());
+    metrics_.collect(*budget_);
+    metrics_.collect_accepted("callers", caller_server_.connections());
+    metrics_.collect_accepted("readiness", readiness_server_.connections());
+    if (peer_server_)
+        metrics_.collect_accepted("peers", peer_server_->connections());
+    metrics_.collect_accepted("metrics", metrics_server_->connections());
     if (peer_server_)
         metrics_.collect_traffic("vms that ask", peer_server_->moved());
     metrics_.collect_connections("servers", upstream_client_.opened());
@@ -540,6 +633,7 @@
     readiness_server_.sweep(now);
     if (peer_server_)
         peer_server_->sweep(now);
+    report_turned_away();
     if (metrics_server_)
         metrics_server_->sweep(now);
     store_feed_.sweep(now);
@@ -551,6 +645,26 @@
         stop_if_drained(now);
 }
 
+void daemon::report_turned_away()
+{
+    const auto now = base::now();
+    if (now < next_turned_away_report_)
+        return;
+    next_turned_away_report_ = now + turned_away_report_period;
+    for (std::size_t n = 0; n < http::shed_reason_count; ++n)
+    {
+        const auto why = static_cast<http::shed_reason>(n);
+        const auto count = budget_->take_unreported(why);
+        if (count == 0)
+            continue;
+        log_.write({event_id::callers_turned_away,
+                    {{"reason", std::string(base::name_of(why))},
+                     {"count", std::to_string(count)},
+                     {"held_bytes", std::to_string(budget_->held_bytes())},
+                     {"most_bytes", std::to_string(budget_->max_bytes())}}});
+    }
+}
+
 instant daemon::sweep_after(instant now) const
 {
     instant out = now + sweep_period;
--- a/lib/entry/entry_metrics.cpp
+++ b/lib/entry/entry_metrics.cpp
@@ -115,6 +115,27 @@
                   to_metric_value(source.dropped_lines()));
 }
 
+void entry_metrics::collect(const http::server_budget& source)
+{
+    registry_.set("mimosa_held_bytes", to_metric_value(source.held_bytes()));
+    registry_.set("mimosa_held_bytes_limit",
+                  to_metric_value(source.max_bytes()));
+    for (std::size_t n = 0; n < http::shed_reason_count; ++n)
+    {
+        const auto why = static_cast<http::shed_reason>(n);
+        registry_.set(with_label("mimosa_callers_turned_away_total", "reason",
+                                 std::string(base::name_of(why))),
+                      to_metric_value(source.shed(why)));
+    }
+}
+
+void entry_metrics::collect_accepted(const std::string& port,
+                                     std::size_t connections)
+{
+    registry_.set(with_label("mimosa_accepted_connections", "port", port),
+                  to_metric_value(connections));
+}
+
 void entry_metrics::collect_traffic(const std::string& peer,
                                     const http::traffic& transferred)
 {
--- a/lib/entry/spread_server.cpp
+++ b/lib/entry/spread_server.cpp
@@ -76,6 +76,16 @@
                   { return it.number == number; });
 }
 
+void spread_server::give_up(http::request_number number)
+{
+    const auto it =
+        std::ranges::find(pending_, number, &pending_request::number);
+    if (it == pending_.end())
+        return;
+    pending_.erase(it);
+    answer_(number, encode_spread_unavailable());
+}
+
 void spread_server::answer_waiting(const std::string& kind, instant now)
 {
     std::erase_if(pending_, [&](const pending_request& it)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -277,11 +277,30 @@
     if (found == queries_.end())
         return;
     out.events.push_back(caller_left_event(found->second, now));
-    for (const auto& p : found->second.parts)
+    cancel_soon(found->second, now);
+    close_query(found->second, now, out);
+}
+
+// Servers stop the work that they can stop, as if the caller had left.
+void gateway::cancel_soon(const query& q, instant now)
+{
+    for (const auto& p : q.parts)
         for (const auto it : p.in_flight)
             set_cancel_timer(it, std::min(exchanges_.at(it).cancel_at,
                                           now + caller_left_grace));
-    close_query(found->second, now, out);
+}
+
+void gateway::give_up(query_number number, instant now, effects& out)
+{
+    const auto found = queries_.find(number);
+    if (found == queries_.end())
+        return;
+    auto& q = found->second;
+    cancel_soon(q, now);
+    if (q.search->is_scattered() && q.has_min_coverage())
+        answer_merged(q, now, out);
+    else
+        answer_failed(q, now, out);
 }
 
 void gateway::set_cancel_timer(exchange_number number, instant at)
--- a/lib/gateway/gateway_admission.cpp
+++ b/lib/gateway/gateway_admission.cpp
@@ -146,6 +146,12 @@
     return is_relayable || is_any_permitted(q, p, now);
 }
 
+// Each send needs a connection, of which a process may have a number only.
+bool gateway::has_room_for(const query& q) const
+{
+    return exchanges_.size() + q.parts.size() <= options_.max_exchanges;
+}
+
 // Whether the limits that servers state let enough parts be sent for an answer.
 // Parts sent without that would use up permits and answer no caller. Of the
 // shards that a relayed query leaves out, all are assumed to answer.
@@ -226,6 +232,8 @@
             : !q.parts.empty() && servers_.has_live(q.parts.front().service);
     if (!servable)
         return refusal::no_server;
+    if (!has_room_for(q))
+        return refusal::overloaded;
     const auto due = q.started + 2 * of.latency_objective;
     if (of.is_scattered() && options_.use.admission &&
         !has_capacity(of, now, due))
--- a/lib/gateway/gateway_relay.cpp
+++ b/lib/gateway/gateway_relay.cpp
@@ -198,6 +198,12 @@
     q.answer_by = std::min(q.give_up_at, now + request.answer_within);
     q.is_relayed = true;
     q.remote_record = request.record;
+    if (!has_room_for(q))
+    {
+        out.answers.push_back(
+            {number, declined{}, found, {}, {}, news_for_vm(now)});
+        return;
+    }
     if (verdict_of(q, now) == crash_verdict::condemned)
     {
         out.answers.push_back({number,
--- a/lib/http/asio.cpp
+++ b/lib/http/asio.cpp
@@ -20,6 +20,9 @@
 constexpr int probe_after_s = 1;
 constexpr int probe_every_s = 1;
 constexpr int most_probes = 2;
+// Connections that the kernel keeps until they are accepted, which is at once
+// but while the process is busy.
+constexpr int max_backlog = 256;
 
 void set_tcp_option(tcp::socket& socket, int option, int value)
 {
@@ -58,6 +61,19 @@
                    static_cast<int>(unconfirmed.count()));
 }
 
+void listen(tcp::acceptor& acceptor, const tcp::endpoint& at)
+{
+    acceptor.open(at.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Accepted connections inherit the size. Without it the kernel's own bounds
+    // hold, which are larger.
+    error_code ignored;
+    std::ignore = acceptor.set_option(
+        asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    acceptor.bind(at);
+    acceptor.listen(max_backlog);
+}
+
 void close(tcp::socket& socket)
 {
     error_code ignored;
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -122,11 +122,14 @@
                       const std::vector<exchange_number>& earlier);
     void remove(const connection_ptr& it);
     void fail_largest_if_full();
+    bool make_room();
 
     asio::io_context& io;
     handlers on;
     client_options options;
     std::uint64_t opened = 0;
+    /// Connections that are not ended, at most options.connections.
+    std::size_t connections = 0;
     traffic moved;
     std::size_t unfinished = 0; ///< bytes received by the busy connections
     std::unordered_map<exchange_number, connection_ptr> busy;
@@ -140,12 +143,16 @@
     connection(std::shared_ptr<impl> owner, const tcp::endpoint& to)
         : owner_(std::move(owner)), to_(to), socket_(owner_->io)
     {
+        ++owner_->connections;
     }
 
     const tcp::endpoint& peer() const { return to_; }
     base::instant last_use() const { return last_use_; }
     std::size_t received() const { return received_; }
-    void start(exchange_number number, const request& message);
+    void start(exchange_number number, const request& message,
+               shared_body body);
+    /// Ends an exchange that has not started, later.
+    void refuse(exchange_number number);
     void end();
     /// Whether nothing came on it since its answer, nor the peer's end.
     bool is_silent();
@@ -174,7 +181,7 @@
     tcp::endpoint to_;
     tcp::socket socket_;
     read_buffer in_;
-    std::string out_; ///< the request while it is written
+    write_buffer out_; ///< the request until it is written
     std::optional<parser_type> parser_;
     exchange_number number_ = 0; ///< 0 while idle
     // No two exchanges on it belong to the same request: an id tells the
@@ -193,13 +200,15 @@
 };
 
 void client::impl::connection::start(exchange_number number,
-                                     const request& message)
+                                     const request& message, shared_body body)
 {
     state_ = connection_state::starting;
     number_ = number;
     carried_.add(number);
     is_head_ = message.method == "HEAD";
-    out_ = serialize(message);
+    auto bytes =
+        body ? serialize_head(message, body->size()) : serialize(message);
+    out_.set(std::move(bytes), std::move(body));
     owner_->moved.sent += out_.size();
     last_use_ = base::now();
     start_parser();
@@ -209,6 +218,17 @@
         connect();
 }
 
+void client::impl::connection::refuse(exchange_number number)
+{
+    number_ = number;
+    asio::post(owner_->io,
+               [self = shared_from_this()]
+               {
+                   if (self->state_ != connection_state::ended)
+                       self->fail(exchange_failure::not_sent);
+               });
+}
+
 void client::impl::connection::start_parser()
 {
     parser_.emplace();
@@ -246,15 +266,15 @@
         return;
     state_ = connection_state::writing;
     const auto number = number_;
-    write_all(socket_, out_,
-              [self = shared_from_this()](const error_code& ec)
-              {
-                  if (self->state_ != connection_state::writing)
-                      return;
-                  self->state_ = connection_state::waiting;
-                  if (ec)
-                      self->fail(exchange_failure::lost);
-              });
+    out_.write(socket_,
+               [self = shared_from_this()](const error_code& ec)
+               {
+                   if (self->state_ != connection_state::writing)
+                       return;
+                   self->state_ = connection_state::waiting;
+                   if (ec)
+                       self->fail(exchange_failure::lost);
+               });
     if (state_ == connection_state::ended)
         return;
     read();
@@ -407,6 +427,9 @@
     state_ = connection_state::ended;
     number_ = 0;
     forget_received();
+    --owner_->connections;
+    in_.clear();
+    parser_.reset();
     close(socket_);
     owner_->remove(shared_from_this());
 }
@@ -503,6 +526,23 @@
     it->fail(exchange_failure::malformed);
 }
 
+// Whether there may be one connection more; ends the one that has been idle for
+// longest if need be.
+bool client::impl::make_room()
+{
+    if (connections < options.connections)
+        return true;
+    connection_ptr oldest;
+    for (const auto& [peer, kept] : idle)
+        for (const auto& it : kept)
+            if (!oldest || it->last_use() < oldest->last_use())
+                oldest = it;
+    if (!oldest)
+        return false;
+    oldest->end();
+    return true;
+}
+
 client::client(asio::io_context& io, handlers h, client_options options)
     : impl_(std::make_shared<impl>(io, std::move(h), options))
 {
@@ -529,13 +569,17 @@
                                 ? base::instant::min()
                                 : now - options.max_idle;
     auto it = impl_->take_idle(to, used_since, options.earlier);
-    if (!it)
-    {
+    const bool is_new = !it;
+    if (is_new)
         impl_->end_carriers(to, options.earlier);
+    const bool has_room = !is_new || impl_->make_room();
+    if (is_new)
         it = std::make_shared<impl::connection>(impl_, to);
-    }
     impl_->busy.emplace(number, it);
-    it->start(number, message);
+    if (has_room)
+        it->start(number, message, options.body);
+    else
+        it->refuse(number);
 }
 
 void client::drop(exchange_number number)
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -62,14 +62,27 @@
                                { return same_name(it, name); });
 }
 
-std::string serialize(const request& it)
+std::string serialize_head(const request& it, std::size_t body_size)
 {
     std::string out = it.method + " " + it.target + " HTTP/1.1\r\n";
     append_headers(out, it.headers);
-    if (!it.body.empty() || (it.method != "GET" && it.method != "HEAD"))
-        out += "Content-Length: " + std::to_string(it.body.size()) + "\r\n";
+    if (body_size > 0 || (it.method != "GET" && it.method != "HEAD"))
+        out += "Content-Length: " + std::to_string(body_size) + "\r\n";
     out += "\r\n";
-    out += it.body;
+    return out;
+}
+
+std::string serialize(const request& it)
+{
+    return serialize_head(it, it.body.size()) + it.body;
+}
+
+std::size_t memory_of(const request& it)
+{
+    std::size_t out =
+        it.method.capacity() + it.target.capacity() + it.body.capacity();
+    for (const auto& field : it.headers)
+        out += sizeof(field) + field.name.capacity() + field.value.capacity();
     return out;
 }
 
--- a/lib/http/message_stream.hpp
+++ b/lib/http/message_stream.hpp
@@ -2,12 +2,13 @@
 #ifndef MIMOSACROFT_LIB_HTTP_MESSAGE_STREAM_HPP
 #define MIMOSACROFT_LIB_HTTP_MESSAGE_STREAM_HPP
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/http/asio.hpp"
 #include "mimosacroft/http/message.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cstddef>
 #include <string>
@@ -22,53 +23,126 @@
 {
 public:
     /// Reads on, if no read is under way; `then` gets the error and the number
-    /// of bytes that were added.
+    /// of bytes that were added. The socket must not block.
     template <typename Handler>
     void read(tcp::socket& socket, Handler then)
     {
         if (reading_)
             return;
         reading_ = true;
-        socket.async_read_some(
-            asio::buffer(bytes_),
-            [this, then = std::move(then)](const error_code& ec, std::size_t n)
+        wait(socket, std::move(then));
+    }
+
+    /// Throws away what was read, with its memory.
+    void clear() { std::string().swap(pending); }
+
+    std::string pending; ///< read and not yet parsed
+
+private:
+    static constexpr std::size_t max_read_bytes = std::size_t{8} * 1024;
+
+    // A connection without bytes has no memory for them: there is one place for
+    // all of a thread, which is used once there is something to read.
+    template <typename Handler>
+    void wait(tcp::socket& socket, Handler then)
+    {
+        socket.async_wait(
+            tcp::socket::wait_read,
+            [this, &socket, then = std::move(then)](error_code ec) mutable
             {
+                static thread_local std::array<char, max_read_bytes> bytes;
+                const auto n =
+                    ec ? 0 : socket.read_some(asio::buffer(bytes), ec);
+                if (ec == asio::error::would_block)
+                {
+                    wait(socket, std::move(then));
+                    return;
+                }
                 reading_ = false;
-                pending.append(bytes_.data(), n);
+                pending.append(bytes.data(), n);
                 then(ec, n);
             });
     }
 
-    std::string pending; ///< read and not yet parsed
-
-private:
-    std::array<char, std::size_t{8} * 1024> bytes_{};
     bool reading_ = false;
 };
 
-/// Writes what fits at once and the rest as the other side takes it. `bytes`
-/// must stay until `done` is called with the outcome, maybe before this
-/// returns.
-template <typename Handler>
-void write_all(tcp::socket& socket, std::string& bytes, Handler done)
+/// A message while it is written: bytes of its own, and maybe a body that other
+/// messages share. Whoever waits for it must keep this alive.
+class write_buffer
 {
-    error_code ec;
-    const auto n = socket.write_some(asio::buffer(bytes), ec);
-    if (ec && ec != asio::error::would_block)
+public:
+    /// Writes what fits at once and the rest as the other side takes it. `done`
+    /// is called with the outcome, maybe before this returns. The socket must
+    /// not block.
+    template <typename Handler>
+    void write(tcp::socket& socket, Handler done)
+    {
+        error_code ec;
+        written_ += socket.write_some(rest(), ec);
+        last_progress_ = base::now();
+        if ((ec && ec != asio::error::would_block) || is_written())
+            finish(ec, std::move(done));
+        else
+            write_on(socket, std::move(done));
+    }
+
+    void set(std::string bytes, shared_body body)
     {
+        bytes_ = std::move(bytes);
+        body_ = std::move(body);
+        written_ = 0;
+    }
+
+    std::size_t size() const
+    {
+        return bytes_.size() + (body_ ? body_->size() : 0);
+    }
+    /// Memory of the bytes that are its own.
+    std::size_t held_bytes() const { return bytes_.capacity(); }
+    /// When the other side last took something.
+    base::instant last_progress() const { return last_progress_; }
+
+private:
+    template <typename Handler>
+    void write_on(tcp::socket& socket, Handler done)
+    {
+        socket.async_write_some(rest(),
+                                [this, &socket, done = std::move(done)](
+                                    const error_code& ec, std::size_t n) mutable
+                                {
+                                    written_ += n;
+                                    last_progress_ = base::now();
+                                    if (ec || is_written())
+                                        finish(ec, std::move(done));
+                                    else
+                                        write_on(socket, std::move(done));
+                                });
+    }
+
+    template <typename Handler>
+    void finish(const error_code& ec, Handler done)
+    {
+        set({}, nullptr);
         done(ec);
-        return;
     }
-    if (!ec && n == bytes.size())
+
+    bool is_written() const { return written_ >= size(); }
+
+    std::array<asio::const_buffer, 2> rest() const
     {
-        done(error_code());
-        return;
+        const auto own = asio::buffer(bytes_) + written_;
+        const auto in_body = written_ - std::min(written_, bytes_.size());
+        const auto body =
+            body_ ? asio::buffer(*body_) + in_body : asio::const_buffer();
+        return {own, body};
     }
-    bytes.erase(0, ec ? 0 : n);
-    asio::async_write(socket, asio::buffer(bytes),
-                      [done = std::move(done)](const error_code& failed,
-                                               std::size_t) { done(failed); });
-}
+
+    std::string bytes_;
+    shared_body body_;
+    std::size_t written_ = 0;
+    base::instant last_progress_{};
+};
 
 enum class parse_outcome
 {
--- a/tools/mimosa_entry.cpp
+++ b/tools/mimosa_entry.cpp
@@ -1,4 +1,5 @@
 // mimosa-entry: the daemon of an entry VM on the platform.
+#include "mimosacroft/base/large_blocks.hpp"
 #include "mimosacroft/entry/daemon.hpp"
 #include "platform/settings_file.hpp"
 
@@ -146,6 +147,7 @@
 
 int main(int argc, char** argv)
 {
+    base::return_large_blocks();
     auto options = make_options();
     flags args;
     try
--- a/unittests/gateway/scattered_test.cpp
+++ b/unittests/gateway/scattered_test.cpp
@@ -199,6 +199,34 @@
     LONGS_EQUAL(0, b.subject.open_exchanges());
 }
 
+// The process has too many callers; the one that waits longest is answered.
+TEST(scattered, a_query_that_is_given_up_is_answered_and_cancelled)
+{
+    const auto out = b.open("/all/q");
+    gateway::effects given_up;
+    b.subject.give_up(b.last_query, b.now, given_up);
+    CHECK(gateway_harness::refusal_in(given_up) == gateway::refusal::failed);
+    for (int n = 0; n < 5; ++n)
+        b.tick(milliseconds(100));
+    LONGS_EQUAL(0, b.subject.open_exchanges());
+    LONGS_EQUAL(0, b.subject.open_queries());
+}
+
+TEST(scattered, requests_beyond_the_sends_that_there_may_be_are_refused)
+{
+    auto options = gateway_harness::make_options();
+    options.max_exchanges = 7;
+    gateway_harness limited{{scattered(4)}, options};
+    for (std::size_t n = 0; n < 4; ++n)
+        for (const char* copy : {"x", "y"})
+            limited.add_server(copy + std::to_string(n),
+                               "s" + std::to_string(n));
+    LONGS_EQUAL(4, limited.open("/all/q").sends.size());
+    const auto refused = limited.open("/all/q");
+    CHECK(refused.sends.empty());
+    CHECK(gateway_harness::refusal_in(refused) == gateway::refusal::overloaded);
+}
+
 TEST(scattered, older_configuration_is_never_applied)
 {
     const auto of = [](std::uint64_t version)
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <map>
+#include <memory>
+#include <vector>
 
 using namespace http_test;
 using http::exchange_failure;
@@ -452,3 +454,58 @@
         old.close();
     }
 }
+
+TEST(client, a_shared_body_is_sent_whole_on_each_connection)
+{
+    const auto body = std::make_shared<const std::string>(1 << 20, 'x');
+    http::client::send_options options;
+    options.body = body;
+    std::vector<std::unique_ptr<loop_peer>> others;
+    for (http::exchange_number n = 1; n <= 3; ++n)
+    {
+        others.push_back(std::make_unique<loop_peer>(io));
+        others.back()->accept(acceptor);
+        client.send(n, at, {"POST", "/a", {}, ""}, options);
+        CHECK(run_until(
+            io, [&] { return others.back()->got().size() > body->size(); }));
+        const auto& got = others.back()->got();
+        CHECK(got.find("Content-Length: 1048576\r\n") != std::string::npos);
+        CHECK(got.ends_with(*body));
+    }
+    options.body = nullptr;
+    // Nothing is kept of it once it is written.
+    LONGS_EQUAL(1, body.use_count());
+    for (const auto& it : others)
+        it->close();
+}
+
+TEST(client, connections_beyond_the_limit_take_the_place_of_idle_ones)
+{
+    http::client limited{
+        io,
+        {.on_reply = [this](auto n, http::response&& reply)
+         { replies[n] = std::move(reply); },
+         .on_failure = [this](auto n, auto why) { failures[n] = why; }},
+        {.connections = 1}};
+    tcp::acceptor second_server{io, any_port};
+    loop_peer first{io};
+    loop_peer second{io};
+    first.accept(acceptor);
+    limited.send(1, at, {"GET", "/a", {}, ""});
+    CHECK(run_until(io, [&] { return !first.got().empty(); }));
+    // All are in use.
+    limited.send(2, second_server.local_endpoint(), {"GET", "/a", {}, ""});
+    wait_for(2);
+    CHECK(failures.at(2) == exchange_failure::not_sent);
+    first.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(1);
+    second.accept(second_server);
+    limited.send(3, second_server.local_endpoint(), {"GET", "/a", {}, ""});
+    CHECK(run_until(io, [&] { return !second.got().empty(); }));
+    CHECK(run_until(io, [&] { return first.ended(); }));
+    second.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait_for(3);
+    LONGS_EQUAL(2, limited.opened());
+    first.close();
+    second.close();
+}
