mimosad serves callers with the server of the entry VMs, and its limits

What callers saw: 150 callers with unfinished bodies of 1 MiB made mimosad take 257,038 kB; a head that comes byte by byte never ended; 300 strangers at the port for VMs took 306 sockets. Cause: its server stood on a library that bounds neither the number of connections nor their sum, and begins the time anew with each byte; links of strangers ended after a second, but there could be any number.

--- a/include/mimosacroft/daemon/runtime.hpp
+++ b/include/mimosacroft/daemon/runtime.hpp
@@ -36,7 +36,9 @@
 {
 public:
     runtime(fleet::agent_options fleet, net::peer_transport_options peers,
-            node::node_options options = {});
+            node::node_options options = {},
+            std::size_t max_unfinished_bytes =
+                net::http_client::default_max_unfinished_bytes);
 
     /// Runs until stop().
     void run();
--- a/include/mimosacroft/net/http_server.hpp
+++ b/include/mimosacroft/net/http_server.hpp
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace mimosacroft::net
 {
@@ -22,6 +24,13 @@
     std::uint16_t port = 0;
     unsigned max_threads = 200;
     std::size_t max_body_bytes = 1 << 20;
+    std::size_t max_connections = 4'096;
+    /// That all callers may make the server hold; see http::server_budget.
+    std::size_t budget_bytes = std::size_t{256} << 20;
+    /// Callers were turned away since the last call, a second ago or more.
+    /// Called from a thread of the server.
+    std::function<void(std::string_view reason, std::uint64_t count)>
+        on_turned_away = [](std::string_view, std::uint64_t) {};
 };
 
 class http_server
@@ -33,7 +42,8 @@
     /// is taken.
     http_server(const http_server_options& options, handler on_request);
 
-    /// Stops to listen and waits for the requests that are running.
+    /// Stops to listen, waits for the requests that are running, and for a
+    /// while until their answers are written.
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/include/mimosacroft/net/peer_transport.hpp
+++ b/include/mimosacroft/net/peer_transport.hpp
@@ -26,6 +26,9 @@
     std::size_t max_frame_bytes = 4 << 20;
     std::size_t max_queue_bytes = 16 << 20; ///< unsent, for each link
     base::milliseconds connect_timeout{1000};
+    /// Links that others opened and on which they have not proved yet that they
+    /// are of the fleet. Beyond that, the oldest of them is closed.
+    std::size_t max_strange_links = 256;
     /// After a link that never came up, the next one is tried no sooner; the
     /// pause doubles with each failure in a row.
     base::milliseconds least_retry_pause{50};
@@ -54,7 +57,8 @@
     std::uint64_t frames_sent = 0;
     std::uint64_t frames_received = 0;
     std::uint64_t links_refused = 0;
-    std::uint64_t links_tried = 0; ///< connects of this VM
+    std::uint64_t links_tried = 0;      ///< connects of this VM
+    std::uint64_t strangers_closed = 0; ///< in favour of others that connect
 };
 
 class peer_transport
--- a/include/mimosacroft/wire/http.hpp
+++ b/include/mimosacroft/wire/http.hpp
@@ -18,6 +18,7 @@
 inline constexpr unsigned status_forbidden = 403;
 inline constexpr unsigned status_not_found = 404;
 inline constexpr unsigned status_method_not_allowed = 405;
+inline constexpr unsigned status_request_timeout = 408;
 inline constexpr unsigned status_conflict = 409;
 inline constexpr unsigned status_too_large = 413;
 inline constexpr unsigned status_internal_error = 500;
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -43,8 +43,9 @@
 } // namespace
 
 runtime::runtime(fleet::agent_options fleet, net::peer_transport_options peers,
-                 node::node_options options)
-    : node_(std::move(fleet), base::random_u64(), options), http_(loop_),
+                 node::node_options options, std::size_t max_unfinished_bytes)
+    : node_(std::move(fleet), base::random_u64(), options),
+      http_(loop_, max_unfinished_bytes),
       peers_(loop_, std::move(peers),
              {[this](const std::string& vm, std::uint64_t incarnation,
                      wire::message msg)
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,21 +1,13 @@
-// The HTTP server, on cxxtools.
+// The HTTP server, on the one of mimosa_http.
 #include "mimosacroft/net/http_server.hpp"
 
+#include "mimosacroft/http/blocking_server.hpp"
+
 #include "http_convert.hpp"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
 #include <cxxtools/query_params.h>
-#include <cxxtools/regex.h>
 #include <exception>
-#include <istream>
-#include <ostream>
-#include <stdexcept>
-#include <thread>
+#include <utility>
 
 namespace mimosacroft::net
 {
@@ -32,160 +24,101 @@
 namespace
 {
 
-std::string reason_of(unsigned status)
+http_request from_message(http::request&& message)
 {
-    if (status < 300)
-        return "OK";
-    return status < 500 ? "Refused" : "Failed";
+    http_request out;
+    const auto question_mark = message.target.find('?');
+    out.method = std::move(message.method);
+    out.path = message.target.substr(0, question_mark);
+    if (question_mark != std::string::npos)
+        out.query = message.target.substr(question_mark + 1);
+    for (auto& it : message.headers)
+        out.headers[lower_case(it.name)] = std::move(it.value);
+    out.body = std::move(message.body);
+    return out;
 }
 
-struct service_context
+// The end of a connection is announced by the server.
+http::blocking_server::reply to_reply(http_reply&& reply)
 {
-    http_server::handler on_request;
-    std::size_t max_body_bytes = 0;
-};
+    http::blocking_server::reply out;
+    out.message.status = reply.status;
+    for (auto& [name, value] : reply.headers)
+        if (name == "connection")
+            out.ends_connection = value == "close";
+        else
+            out.message.headers.push_back({name, std::move(value)});
+    out.message.body = std::move(reply.body);
+    return out;
+}
 
-class responder : public cxxtools::http::Responder
+http::blocking_server::reply answer(const http_server::handler& on_request,
+                                    http::request&& message)
 {
-public:
-    responder(cxxtools::http::Service& service, const service_context& context)
-        : cxxtools::http::Responder(service), context_(context)
-    {
-    }
-
-    void beginRequest(cxxtools::net::TcpSocket&, std::istream&,
-                      cxxtools::http::Request& request) override
-    {
-        body_.clear();
-        left_ = request.header().contentLength();
-        overflow_ = false;
-    }
-
-    std::size_t readBody(std::istream& in) override
-    {
-        std::size_t n = 0;
-        // What follows the body belongs to the next request.
-        while (left_ > 0 && in.rdbuf()->in_avail() > 0)
-        {
-            --left_;
-            const char c = static_cast<char>(in.get());
-            ++n;
-            // The rest of a body that is too large is read and dropped, so that
-            // the caller gets the refusal in place of a broken connection.
-            if (body_.size() < context_.max_body_bytes)
-                body_ += c;
-            else
-                overflow_ = true;
-        }
-        return n;
-    }
-
-    void reply(std::ostream& out, cxxtools::http::Request& request,
-               cxxtools::http::Reply& reply) override
-    {
-        const http_reply answer =
-            overflow_ ? too_large() : context_.on_request(convert(request));
-        reply.httpReturn(answer.status, reason_of(answer.status));
-        for (const auto& [name, value] : answer.headers)
-            reply.setHeader(name.c_str(), value.c_str());
-        out << answer.body;
-    }
-
-    void replyError(std::ostream& out, cxxtools::http::Request&,
-                    cxxtools::http::Reply& reply,
-                    const std::exception& ex) override
-    {
-        reply.httpReturn(400, "Refused");
-        reply.setHeader("Content-Type", "text/plain");
-        out << ex.what();
-    }
-
-private:
-    http_reply too_large() const
+    try
     {
-        http_reply out;
-        out.status = wire::status_too_large;
-        out.headers["content-type"] = "application/json";
-        out.body = R"({"outcome":"rejected","error":"body is larger than )" +
-                   std::to_string(context_.max_body_bytes) + R"( bytes"})";
-        return out;
+        return to_reply(on_request(from_message(std::move(message))));
     }
-
-    http_request convert(cxxtools::http::Request& request) const
+    catch (const std::exception& ex)
     {
-        http_request out;
-        out.method = request.method();
-        out.path = request.url();
-        out.query = request.qparams();
-        out.body = body_;
-        const auto& header = request.header();
-        for (auto it = header.begin(); it != header.end(); ++it)
-            out.headers[lower_case(it->first)] = it->second;
-        return out;
+        return to_reply({wire::status_bad_request,
+                         {{"content-type", "text/plain"}},
+                         ex.what()});
     }
+}
 
-    const service_context& context_;
-    std::string body_;
-    std::size_t left_ = 0; ///< bytes of the body that are still to come
-    bool overflow_ = false;
-};
-
-class service : public cxxtools::http::Service
+std::string refusal_text(unsigned status, std::size_t max_body_bytes)
 {
-public:
-    explicit service(service_context context) : context_(std::move(context)) {}
-
-protected:
-    cxxtools::http::Responder*
-    createResponder(const cxxtools::http::Request&) override
+    switch (status)
     {
-        return new responder(*this, context_);
+    case wire::status_too_large:
+        return "body is larger than " + std::to_string(max_body_bytes) +
+               " bytes";
+    case wire::status_unavailable:
+        return "callers hold too much memory; the request did not run";
+    case wire::status_request_timeout:
+        return "the request took too long to arrive; it did not run";
+    default:
+        return "the request is malformed";
     }
+}
 
-    void releaseResponder(cxxtools::http::Responder* it) override { delete it; }
+http::response refusal(unsigned status, std::size_t max_body_bytes)
+{
+    return {status,
+            {{"content-type", "application/json"}},
+            R"({"outcome":"rejected","error":")" +
+                refusal_text(status, max_body_bytes) + R"("})"};
+}
 
-private:
-    service_context context_;
-};
+http::blocking_server_options to_options(const http_server_options& in)
+{
+    http::blocking_server_options out;
+    out.address = in.address + ":" + std::to_string(in.port);
+    out.max_threads = in.max_threads;
+    out.max_body_bytes = in.max_body_bytes;
+    out.max_connections = in.max_connections;
+    out.budget_bytes = in.budget_bytes;
+    return out;
+}
 
 } // namespace
 
 struct http_server::impl
 {
-    cxxtools::EventLoop events;
-    service all;
-    cxxtools::http::Server server;
-    std::thread thread;
-
-    impl(const http_server_options& options, handler on_request)
-        : all({std::move(on_request), options.max_body_bytes}),
-          server(events, options.address, options.port)
-    {
-        server.minThreads(4);
-        server.maxThreads(options.max_threads);
-        server.addService(cxxtools::Regex("."), all);
-    }
+    http::blocking_server server;
 };
 
 http_server::http_server(const http_server_options& options, handler on_request)
+    : impl_(new impl{
+          {to_options(options),
+           {[fn = std::move(on_request)](http::request&& message)
+            { return answer(fn, std::move(message)); },
+            [max = options.max_body_bytes](unsigned status)
+            { return refusal(status, max); }, options.on_turned_away}}})
 {
-    try
-    {
-        impl_ = std::make_unique<impl>(options, std::move(on_request));
-    }
-    catch (const std::exception& ex)
-    {
-        throw std::runtime_error("cannot listen on " + options.address + ":" +
-                                 std::to_string(options.port) + ": " +
-                                 ex.what());
-    }
-    impl_->thread = std::thread([this] { impl_->events.run(); });
 }
 
-http_server::~http_server()
-{
-    impl_->events.exit();
-    impl_->thread.join();
-}
+http_server::~http_server() = default;
 
 } // namespace mimosacroft::net
--- a/lib/net/peer_transport.cpp
+++ b/lib/net/peer_transport.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t nonce_bytes = 16;
 constexpr std::size_t read_bytes = 64 << 10;
 constexpr int listen_backlog = 256;
+constexpr base::milliseconds strangers_report_period{1000};
 /// A stranger may send no more than this before it has proved itself.
 constexpr std::size_t max_handshake_bytes = 4096;
 
@@ -303,6 +304,7 @@
     std::vector<std::shared_ptr<peer_link>> incoming;
     std::map<std::string, retry_state> retries; // links that never came up
     std::set<std::string> refused_sends;        // not reported yet
+    bool report_is_due = false;                 // of strangers that were closed
 
     impl(loop& l, peer_transport_options o, peer_handlers h)
         : owner(l), options(std::move(o)), handlers(std::move(h)),
@@ -334,6 +336,42 @@
             link->close();
         }
         watch_handshake(link);
+        close_oldest_stranger();
+    }
+
+    // Anybody may connect; what a stranger holds ends with connect_timeout, and
+    // the number of strangers is bounded.
+    void close_oldest_stranger()
+    {
+        const auto is_strange = [](const auto& link)
+        { return !link->ready() && !link->closing(); };
+        const auto strangers = static_cast<std::size_t>(
+            std::count_if(incoming.begin(), incoming.end(), is_strange));
+        if (strangers <= options.max_strange_links)
+            return;
+        const auto oldest =
+            *std::find_if(incoming.begin(), incoming.end(), is_strange);
+        ++counters.strangers_closed;
+        report_strangers_later();
+        oldest->close();
+    }
+
+    // One report for all that are closed within a while.
+    void report_strangers_later()
+    {
+        if (std::exchange(report_is_due, true))
+            return;
+        const auto before = counters.strangers_closed - 1;
+        owner.at(std::chrono::steady_clock::now() + strangers_report_period,
+                 [this, before]
+                 {
+                     report_is_due = false;
+                     const auto n = counters.strangers_closed - before;
+                     handlers.on_refused(
+                         {base::error_code::too_large, base::step::connect, "",
+                          std::to_string(n) + " links were closed, too many "
+                                              "strangers connect at once"});
+                 });
     }
 
     void drop_incoming(const peer_link& gone)
--- a/tools/mimosad.cpp
+++ b/tools/mimosad.cpp
@@ -1,5 +1,6 @@
 // mimosad: the daemon of an entry VM.
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/base/large_blocks.hpp"
 #include "mimosacroft/base/text.hpp"
 #include "mimosacroft/daemon/caller_api.hpp"
 #include "mimosacroft/daemon/event_log.hpp"
@@ -7,8 +8,10 @@
 #include "mimosacroft/daemon/serve.hpp"
 #include "mimosacroft/daemon/settings.hpp"
 #include "mimosacroft/daemon/status_page.hpp"
+#include "mimosacroft/http/process_limits.hpp"
 #include "mimosacroft/net/http_server.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -26,6 +29,10 @@
 
 std::string problem_of(const daemon::settings& s);
 
+// Of the connections that may be accepted, this part is for links of VMs that
+// have not proved yet that they are of the fleet.
+constexpr std::size_t strange_links_divisor = 4;
+
 const daemon::program this_program = {
     "mimosad",
     "The entry VM's daemon of mimosacroft",
@@ -70,6 +77,20 @@
          .help = "largest body of a request",
          .least = 1024,
          .most = 64 << 20},
+        {.name = "memory-mb",
+         .kind = setting_kind::number,
+         .fallback = "512",
+         .help = "memory of the process in MiB; what callers and servers may "
+                 "make it hold is a part of it",
+         .least = 64,
+         .most = 1 << 20},
+        {.name = "max-descriptors",
+         .kind = setting_kind::number,
+         .fallback = "4096",
+         .help = "descriptors of the process, 200 of which are for files; a "
+                 "third of the others is for callers and other VMs",
+         .least = 300,
+         .most = 1 << 20},
         {.name = "max-frame-bytes",
          .kind = setting_kind::number,
          .fallback = "4194304",
@@ -302,6 +323,15 @@
     return out;
 }
 
+http::process_limits limits_of(const daemon::settings& s)
+{
+    constexpr std::size_t file_descriptors = 200;
+    const auto stated = s.number("max-descriptors") - file_descriptors;
+    return http::limits_for(
+        s.number("memory-mb") << 20U,
+        std::min<std::size_t>(stated, http::allowed_sockets()));
+}
+
 net::peer_transport_options peer_options_of(const daemon::settings& s,
                                             std::uint64_t incarnation)
 {
@@ -312,6 +342,7 @@
     out.incarnation = incarnation;
     out.secret = s.text("peer-secret");
     out.max_frame_bytes = s.number("max-frame-bytes");
+    out.max_strange_links = limits_of(s).accepted / strange_links_divisor;
     return out;
 }
 
@@ -322,9 +353,24 @@
     out.port = daemon::port_of(s.text("http-address"));
     out.max_threads = static_cast<unsigned>(s.number("http-threads"));
     out.max_body_bytes = s.number("max-body-bytes");
+    const auto limits = limits_of(s);
+    out.budget_bytes = limits.budget_bytes;
+    out.max_connections =
+        limits.accepted - limits.accepted / strange_links_divisor;
     return out;
 }
 
+void note_turned_away(daemon::runtime& rt, std::string_view reason,
+                      std::uint64_t count)
+{
+    rt.metrics().add(
+        base::with_label("mimosa_callers_turned_away_total", "reason", reason),
+        count);
+    daemon::write(
+        {core::event_id::callers_turned_away,
+         {{"reason", std::string(reason)}, {"count", std::to_string(count)}}});
+}
+
 // Waits for a signal to stop, and then until nothing is in flight. The ready
 // check refuses first, then the peers hear it.
 void serve_until_stopped(daemon::runtime& rt, front_door& door,
@@ -345,7 +391,8 @@
     const auto signals = daemon::block_stop_signals();
     const auto incarnation = base::random_u64();
     daemon::runtime rt(agent_options_of(s, incarnation),
-                       peer_options_of(s, incarnation), node_options_of(s));
+                       peer_options_of(s, incarnation), node_options_of(s),
+                       limits_of(s).unfinished_answer_bytes);
     const daemon::operator_options operators{s.text("operator-token-sha256"),
                                              s.text("platform-address")};
     front_door door;
@@ -354,8 +401,12 @@
     try
     {
         // Destroyed before the loop stops: its handlers wait for the loop.
+        auto options = http_options_of(s);
+        options.on_turned_away =
+            [&rt](std::string_view reason, std::uint64_t count)
+        { note_turned_away(rt, reason, count); };
         const net::http_server server(
-            http_options_of(s),
+            options,
             [&](const wire::http_request& request)
             {
                 return door.serve(
@@ -383,6 +434,7 @@
 
 int main(int argc, char** argv)
 {
+    base::return_large_blocks();
     const auto settings = daemon::settings_or_exit(this_program, argc, argv);
     daemon::start_log();
     try
