A status that is none ends the exchange

What callers saw: after an answer with status 000 of a server in trouble a request waited for its deadline, or got what came next on that connection; a status of 600 was passed on. Cause: any status below 200 was passed over as an interim answer. Evidence: client.a_status_that_is_none_ends_the_exchange_at_once got the 200 behind the 000, http_client.a_status_that_is_none_ends_the_call_at_once too (run without the change). Why it works: outside 100 to 599, and for 101, nothing on the connection can be an answer to the request; the exchange fails at once, as malformed.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -28,7 +28,10 @@
 // A kept connection is ended this much before the peer would end it, so that no
 // request crosses the peer's close.
 constexpr base::milliseconds idle_margin{500};
+constexpr unsigned status_switching_protocols = 101;
+constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 // What may come for one exchange beside the largest body: heads, interim
 // answers and answers of other requests.
 constexpr std::size_t max_overhead_bytes = std::size_t{64} * 1024;
@@ -36,6 +39,14 @@
 // which have no end in sight beyond that.
 constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 
+// A server in trouble may send any three digits. What follows a status that is
+// none, or that leaves HTTP, is no answer to the request.
+bool is_usable(unsigned status)
+{
+    return status >= first_status && status <= last_status &&
+           status != status_switching_protocols;
+}
+
 response to_response(parser_type::value_type&& message)
 {
     response out;
@@ -368,6 +379,11 @@
 {
     const bool kept = parser_->keep_alive();
     auto reply = to_response(parser_->release());
+    if (!is_usable(reply.status))
+    {
+        fail(exchange_failure::malformed);
+        return;
+    }
     if (reply.status < first_final_status)
     {
         start_parser();
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -35,7 +35,10 @@
 /// bytes beside the body.
 constexpr std::size_t max_exchange_bytes = max_body_bytes + (4 << 20);
 constexpr std::size_t read_bytes = 16 << 10;
+constexpr unsigned status_switching_protocols = 101;
+constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 
 void append_header(std::string& out, const std::string& name,
                    const std::string& value)
@@ -70,6 +73,13 @@
     return out;
 }
 
+// What follows a status that is none, or that leaves HTTP, is no reply.
+bool is_usable(unsigned status)
+{
+    return status >= first_status && status <= last_status &&
+           status != status_switching_protocols;
+}
+
 bool is_limit(const boost::system::error_code& ec)
 {
     return ec == beast_http::error::body_limit ||
@@ -264,7 +274,14 @@
             }
             if (!parser_->is_done())
                 continue;
-            if (parser_->get().result_int() >= first_final_status)
+            const auto status = parser_->get().result_int();
+            if (!is_usable(status))
+            {
+                fail(base::error_code::broken, base::step::receive,
+                     "the status is none of HTTP: " + std::to_string(status));
+                return false;
+            }
+            if (status >= first_final_status)
                 return end_reply();
             start_reply(); // an interim reply
         }
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -455,6 +455,27 @@
     }
 }
 
+// Guards against a status such as 000, which a server in trouble sent: it is no
+// interim answer, and what follows it is no answer to the request.
+TEST(client, a_status_that_is_none_ends_the_exchange_at_once)
+{
+    http::exchange_number n = 0;
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"})
+    {
+        loop_peer other{io};
+        other.accept(acceptor);
+        client.send(++n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+        CHECK(run_until(io, [&] { return !other.got().empty(); }));
+        other.send("HTTP/1.1 " + status +
+                   " Odd\r\nContent-Length: 0\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        wait_for(n);
+        CHECK(failures.contains(n));
+        CHECK(failures.at(n) == exchange_failure::malformed);
+        other.close();
+    }
+}
+
 TEST(client, a_shared_body_is_sent_whole_on_each_connection)
 {
     const auto body = std::make_shared<const std::string>(1 << 20, 'x');
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -312,3 +312,18 @@
     CHECK(ended.at(large.address()) == base::error_code::too_large);
     CHECK(ended.at(small.address()) == base::error_code::timeout);
 }
+
+// A status such as 000 is no interim reply, and what follows it no reply.
+TEST(http_client, a_status_that_is_none_ends_the_call_at_once)
+{
+    for (const std::string status : {"000", "099", "101", "600"})
+    {
+        const raw_server server("HTTP/1.1 " + status +
+                                    " Odd\r\nContent-Length: 0\r\n\r\n"
+                                    "HTTP/1.1 200 OK\r\n"
+                                    "Content-Length: 2\r\n\r\nok",
+                                after_reply::keep);
+        CHECK(code(call(server.address())) == base::error_code::broken);
+        LONGS_EQUAL(0, client.connections(server.address()));
+    }
+}
