A head that holds a second status line says nothing of the request

Cause: a cut copy of an old answer, late, lets the next answer's head go on as the rest of its own; the "not run" of one stood beside the id and signature of the other. Why it works: whatever the cut, the next answer's status line then stands within the head, so the whole class is recognised before anything is believed.

--- a/include/mimosacroft/http/message.hpp
+++ b/include/mimosacroft/http/message.hpp
@@ -57,6 +57,11 @@
     std::string body;
 };
 
+/// Whether the text of a head, but for its own first line, holds the beginning
+/// of an answer: a version and a status. Then bytes of two answers were read as
+/// one head, and it says nothing about either.
+bool holds_status_line(std::string_view text);
+
 /// A request as bytes; the length of its body is added.
 std::string serialize(const request& it);
 
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -47,6 +47,17 @@
            status != status_switching_protocols;
 }
 
+// A late copy of an old answer may be cut anywhere; the next answer then begins
+// in the middle of its head.
+bool is_of_two_answers(const parser_type::value_type& message)
+{
+    const auto holds = [](const auto& text)
+    { return holds_status_line({text.data(), text.size()}); };
+    return holds(message.reason()) ||
+           std::ranges::any_of(message, [&holds](const auto& field)
+                               { return holds(field.value()); });
+}
+
 response to_response(parser_type::value_type&& message)
 {
     response out;
@@ -378,8 +389,9 @@
 void client::impl::connection::on_message()
 {
     const bool kept = parser_->keep_alive();
+    const bool is_mixed = is_of_two_answers(parser_->get());
     auto reply = to_response(parser_->release());
-    if (!is_usable(reply.status))
+    if (is_mixed || !is_usable(reply.status))
     {
         fail(exchange_failure::malformed);
         return;
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -62,6 +62,23 @@
                                { return same_name(it, name); });
 }
 
+bool holds_status_line(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t digits_at = version.size() + 2; // as in "HTTP/1.1 "
+    constexpr std::size_t size = digits_at + 3;
+    for (auto at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1))
+    {
+        const auto line = text.substr(at, size);
+        if (line.size() == size && line[digits_at - 1] == ' ' &&
+            std::ranges::all_of(line.substr(digits_at),
+                                [](char c) { return c >= '0' && c <= '9'; }))
+            return true;
+    }
+    return false;
+}
+
 std::string serialize_head(const request& it, std::size_t body_size)
 {
     std::string out = it.method + " " + it.target + " HTTP/1.1\r\n";
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -2,6 +2,8 @@
 // which bounds what a server may send.
 #include "mimosacroft/net/http_client.hpp"
 
+#include "mimosacroft/http/message.hpp"
+
 #include "http_convert.hpp"
 
 #include <algorithm>
@@ -80,6 +82,17 @@
            status != status_switching_protocols;
 }
 
+// A late copy of an old reply may be cut anywhere; the next reply then begins
+// in the middle of its head.
+bool is_of_two_replies(const parser_type::value_type& message)
+{
+    const auto holds = [](const boost::beast::string_view& text)
+    { return http::holds_status_line({text.data(), text.size()}); };
+    return holds(message.reason()) ||
+           std::any_of(message.begin(), message.end(),
+                       [&holds](const auto& it) { return holds(it.value()); });
+}
+
 bool is_limit(const boost::system::error_code& ec)
 {
     return ec == beast_http::error::body_limit ||
@@ -275,10 +288,11 @@
             if (!parser_->is_done())
                 continue;
             const auto status = parser_->get().result_int();
-            if (!is_usable(status))
+            if (!is_usable(status) || is_of_two_replies(parser_->get()))
             {
                 fail(base::error_code::broken, base::step::receive,
-                     "the status is none of HTTP: " + std::to_string(status));
+                     "the head is none of one reply, status " +
+                         std::to_string(status));
                 return false;
             }
             if (status >= first_final_status)
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -530,3 +530,47 @@
     first.close();
     second.close();
 }
+
+// Guards against a cut copy of an old answer that comes late, at the point
+// where the next answer is expected: read as one head with it, an old "not run"
+// or an old 200 was taken for what the server says of the new request.
+TEST(client, a_cut_copy_of_an_old_answer_is_never_part_of_the_next_one)
+{
+    const std::string date = "Date: Mon, 07 Dec 2026 06:00:00 GMT\r\n";
+    const std::string length = "Content-Length: 4\r\n\r\n";
+    const std::vector<std::string> all = {
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + date +
+            "Id: other\r\n" + length + "full",
+        "HTTP/1.1 421 Misdirected Request\r\n" + date + "Id: other\r\n" +
+            length + "away",
+        "HTTP/1.1 200 OK\r\n" + date + "Id: other\r\n" + length + "good",
+        "HTTP/1.1 500 Internal Server Error\r\n" + date + "Id: other\r\n" +
+            length + "fail"};
+    http::exchange_number n = 0;
+    for (const auto& old : all)
+        for (const auto& next : all)
+            for (std::size_t cut = 1; cut < old.size(); ++cut)
+            {
+                auto proper = next;
+                proper.replace(next.find("Id: other"), 9, "Id: mine");
+                loop_peer other{io};
+                other.accept(acceptor);
+                client.send(++n, at, {"GET", "/a", {{"Host", "h"}}, ""});
+                CHECK(run_until(io, [&] { return !other.got().empty(); }));
+                other.send(old.substr(0, cut) + proper);
+                other.close();
+                wait_for(n);
+                if (failures.contains(n))
+                    continue;
+                const auto& reply = replies.at(n);
+                const auto text = old.substr(0, cut) + "|" + proper;
+                CHECK_TEXT(proper.find(" " + std::to_string(reply.status) +
+                                       " ") != std::string::npos,
+                           text.c_str());
+                CHECK_TEXT(proper.ends_with(reply.body), text.c_str());
+                CHECK_TEXT(
+                    http::find(reply.headers, "not-executed").has_value() ==
+                        (proper.find("Not-Executed") != std::string::npos),
+                    text.c_str());
+            }
+}
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -327,3 +327,19 @@
         LONGS_EQUAL(0, client.connections(server.address()));
     }
 }
+
+// A cut copy of an old reply, read as one head with the next one.
+TEST(http_client, a_cut_copy_of_an_old_reply_is_no_part_of_the_next_one)
+{
+    const std::string old = "HTTP/1.1 503 Service Unavailable\r\n"
+                            "Date: Mon, 07 Dec 2026 06:00:00 GMT\r\n"
+                            "Content-Length: 0\r\n\r\n";
+    const std::string proper = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (std::size_t cut = 1; cut + 4 < old.size(); ++cut)
+    {
+        const raw_server server(old.substr(0, cut) + proper,
+                                after_reply::close);
+        CHECK_FALSE_TEXT(call(server.address()).has_value(),
+                         old.substr(0, cut).c_str());
+    }
+}
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -178,6 +178,27 @@
     CHECK(match(500, {}) == http::reply_match::belongs);
 }
 
+// A signature is given to a request that ran.
+TEST(messages, an_answer_that_contradicts_itself_is_not_used)
+{
+    const http::header not_executed{"Mimosacroft-Not-Executed", "1"};
+    const http::header id{"Mimosacroft-Request-Id", "r1"};
+    const http::header other_id{"Mimosacroft-Request-Id", "r0"};
+    const http::header signature{"Mimosacroft-Server-Stamp", "s"};
+    const auto match = [](unsigned status, http::header_list headers)
+    { return platform::match_reply("r1", {status, std::move(headers), ""}); };
+    CHECK(match(503, {not_executed, id, signature}) ==
+          http::reply_match::unusable);
+    CHECK(match(421, {id, signature}) == http::reply_match::unusable);
+    CHECK(match(200, {not_executed, id}) == http::reply_match::unusable);
+    CHECK(match(503, {id, other_id}) == http::reply_match::unusable);
+    CHECK(match(200, {other_id, id}) == http::reply_match::unusable);
+    CHECK(match(503, {not_executed, id}) == http::reply_match::belongs);
+    CHECK(match(200, {id, signature}) == http::reply_match::belongs);
+    // The whole late copy of another request's answer is passed over as ever.
+    CHECK(match(503, {not_executed, other_id}) == http::reply_match::stray);
+}
+
 TEST(messages, a_merged_answer_lists_its_signatures_and_missing_shards)
 {
     gateway::merged merged;
