What is kept of the store's past is bounded in bytes

Cause: the cache of the store's objects bounded the number of changes and of removed objects, not their bytes. Why it works: history and removed objects have half each of a bound that is derived from the memory; older ones go, and a VM that asks for them lists again.

--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -44,7 +44,9 @@
     store_watch(http::asio::io_context& io, std::string kind,
                 std::string store_address, gateway::follower_options options,
                 gateway::watch_timeouts waits, handlers callbacks,
-                std::uint32_t seed);
+                std::uint32_t seed,
+                std::size_t max_past_bytes =
+                    gateway::object_cache::default_max_past_bytes);
 
     /// Sends the call that is due, or fails the one whose deadline has passed.
     void tick(base::instant now);
--- a/include/mimosacroft/gateway/catalog.hpp
+++ b/include/mimosacroft/gateway/catalog.hpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace mimosacroft::gateway
@@ -96,10 +97,17 @@
     /// Returns null if the service has no settings.
     const service_settings* find_service(const std::string& name) const;
 
+    /// Whether a search has this name.
+    bool has_search(const std::string& name) const
+    {
+        return names_.contains(name);
+    }
+
 private:
     std::uint64_t version_ = 0;
     std::unordered_map<std::string, search_ptr> searches_; ///< by host + prefix
     std::unordered_map<std::string, service_settings> services_;
+    std::unordered_set<std::string> names_; ///< of searches_
     caller_limits limits_;
 };
 
--- a/include/mimosacroft/gateway/object_cache.hpp
+++ b/include/mimosacroft/gateway/object_cache.hpp
@@ -31,9 +31,13 @@
     using order_function =
         std::function<std::optional<object_order>(const std::string& content)>;
 
-    explicit object_cache(order_function order_of = [](const auto&)
-                          { return std::nullopt; })
-        : order_of_(std::move(order_of))
+    static constexpr std::size_t default_max_past_bytes = std::size_t{8} << 20;
+
+    /// `max_past_bytes` bounds what is kept beside the current objects.
+    explicit object_cache(
+        order_function order_of = [](const auto&) { return std::nullopt; },
+        std::size_t max_past_bytes = default_max_past_bytes)
+        : order_of_(std::move(order_of)), max_past_bytes_(max_past_bytes)
     {
     }
 
@@ -49,6 +53,9 @@
 
     store_position position() const { return position_; }
 
+    /// Of changes and removed objects, with what they are kept in.
+    std::size_t past_bytes() const { return history_bytes_ + removed_bytes_; }
+
     /// Returns all objects.
     object_batch list() const;
     /// Returns the changes after a position, or nothing if the history does not
@@ -79,13 +86,21 @@
     void store(const object_change& change, std::uint64_t era);
     void remember_removed(const std::string& name, std::uint64_t era);
     void append_history(object_change change);
+    void forget_oldest_change();
+    void clear_history();
+    void forget_removed(const std::string& name);
 
     order_function order_of_;
+    std::size_t max_past_bytes_;
     std::map<std::string, known_content> objects_; ///< by name
     /// By name; of objects that the store has removed.
     std::map<std::string, known_content> removed_;
     std::deque<std::string> removed_names_; ///< of removed_, oldest first
     std::deque<versioned_change> history_;  ///< of this era, oldest first
+    // The sums over history_ and removed_, each at most half of
+    // max_past_bytes_.
+    std::size_t history_bytes_ = 0;
+    std::size_t removed_bytes_ = 0;
     std::uint64_t compacted_revision_ = 0; ///< history up to this is incomplete
     store_position position_;
 };
--- a/include/mimosacroft/http/process_limits.hpp
+++ b/include/mimosacroft/http/process_limits.hpp
@@ -11,17 +11,18 @@
 // The memory is shared out: 3/16 for accepted connections, with what the kernel
 // receives on each and the free part of the budget; 3/16 for the bytes of the
 // budget; 1/8 for answers of servers that are not whole, which the growth of
-// their buffers may double. The rest is for the program, what it knows, and the
-// requests under way.
-// The sockets are shared out: a third at most for accepted connections, a few
-// for listening and for calls to the platform, and the rest for connections
-// that the process makes.
+// their buffers may double; 1/16 for earlier states of what the store holds.
+// The rest is for the program, what it knows, and the requests under way. The
+// sockets are shared out: a third at most for accepted connections, a few for
+// listening and for calls to the platform, and the rest for connections that
+// the process makes.
 struct process_limits
 {
     std::size_t budget_bytes = 0; ///< of server_budget
     std::size_t accepted = 0;     ///< connections, at all ports
     std::size_t made = 0;         ///< connections to others
     std::size_t unfinished_answer_bytes = 0;
+    std::size_t past_bytes = 0; ///< earlier states of the store's objects
 
     bool operator==(const process_limits&) const = default;
 };
--- a/lib/entry/entry_metrics.cpp
+++ b/lib/entry/entry_metrics.cpp
@@ -98,6 +98,8 @@
                   to_metric_value(source.store_calls()));
     registry_.set(with_label("mimosa_store_era", "kind", source.kind()),
                   to_metric_value(source.cache().position().era));
+    registry_.set(with_label("mimosa_past_bytes", "kind", source.kind()),
+                  to_metric_value(source.cache().past_bytes()));
     if (source.is_complete())
         registry_.set(
             with_label("mimosa_store_age_seconds", "kind", source.kind()),
--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -3,6 +3,7 @@
 
 #include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/base/crypto.hpp"
+#include "mimosacroft/http/process_limits.hpp"
 #include "platform/store.hpp"
 
 #include <algorithm>
@@ -38,6 +39,13 @@
 constexpr milliseconds max_wait_for_vm_list{300};
 constexpr milliseconds cleanup_period{2'000};
 
+// For each of the kinds that are followed.
+std::size_t max_past_bytes(const settings& source)
+{
+    constexpr std::size_t kinds = 3;
+    return http::limits_for(source.memory_bytes, 0).past_bytes / kinds;
+}
+
 } // namespace
 
 store_feed::store_feed(http::asio::io_context& io,
@@ -57,7 +65,7 @@
                          platform::configuration_kind,
                          [this](const auto& changes)
                          { on_configuration(changes); }, [](const auto&) {}),
-                     base::random_seed()),
+                     base::random_seed(), max_past_bytes(initial_settings)),
       servers_(io, std::string(platform::servers_kind),
                initial_settings.store_address,
                {.min_call_interval = min_servers_call_interval}, {},
@@ -65,14 +73,14 @@
                    platform::servers_kind,
                    [this](const auto& changes) { on_servers(changes); },
                    [this](const auto& names) { on_server_list(names); }),
-               base::random_seed()),
+               base::random_seed(), max_past_bytes(initial_settings)),
       vms_(io, std::string(platform::vms_kind), initial_settings.store_address,
            {.min_call_interval = min_vms_call_interval}, vms_watch_waits,
            make_watch_handlers(
                platform::vms_kind,
                [this](const auto& changes) { on_vms(changes); },
                [this](const auto& names) { on_vm_list(names); }),
-           base::random_seed()),
+           base::random_seed(), max_past_bytes(initial_settings)),
       registration_(io, initial_settings.store_address, own_entry_,
                     base::random_seed())
 {
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -39,12 +39,12 @@
                          std::string store_address,
                          gateway::follower_options options,
                          gateway::watch_timeouts waits, handlers callbacks,
-                         std::uint32_t seed)
+                         std::uint32_t seed, std::size_t max_past_bytes)
     : kind_(std::move(kind)), store_address_(std::move(store_address)),
       max_served_age_(max_served_age_in_waits * waits.store),
       follower_(options), sources_(waits),
       cache_([name = kind_](const std::string& content)
-             { return platform::decode_order(name, content); }),
+             { return platform::decode_order(name, content); }, max_past_bytes),
       handlers_(std::move(callbacks)), random_engine_(seed),
       client_(io,
               {.on_reply =
--- a/lib/gateway/catalog.cpp
+++ b/lib/gateway/catalog.cpp
@@ -38,6 +38,7 @@
     for (auto& it : searches)
     {
         it.host = normalized_host(it.host);
+        names_.insert(it.name);
         auto key = key_of(it.host, it.path_prefix);
         searches_.insert_or_assign(
             std::move(key), std::make_shared<const search>(std::move(it)));
--- a/lib/gateway/object_cache.cpp
+++ b/lib/gateway/object_cache.cpp
@@ -7,6 +7,19 @@
 namespace mimosacroft::gateway
 {
 
+namespace
+{
+
+// What an entry takes beside its text.
+constexpr std::size_t entry_overhead_bytes = 128;
+
+std::size_t memory_of(const std::string& name, const std::string& content)
+{
+    return name.size() + content.size() + entry_overhead_bytes;
+}
+
+} // namespace
+
 bool object_cache::is_older(const std::string& content,
                             const std::string& than) const
 {
@@ -32,17 +45,41 @@
 
 void object_cache::append_history(object_change change)
 {
+    history_bytes_ += memory_of(change.name, change.content);
     history_.push_back({position_.revision, std::move(change)});
-    if (history_.size() <= max_history_size)
-        return;
-    compacted_revision_ = history_.front().revision;
+    while (history_.size() > max_history_size ||
+           history_bytes_ > max_past_bytes_ / 2)
+        forget_oldest_change();
+}
+
+void object_cache::forget_oldest_change()
+{
+    const auto& oldest = history_.front();
+    compacted_revision_ = oldest.revision;
+    history_bytes_ -= memory_of(oldest.change.name, oldest.change.content);
     history_.pop_front();
 }
 
+void object_cache::clear_history()
+{
+    history_.clear();
+    history_bytes_ = 0;
+}
+
+void object_cache::forget_removed(const std::string& name)
+{
+    const auto it = removed_.find(name);
+    if (it == removed_.end())
+        return;
+    removed_bytes_ -= memory_of(name, it->second.content);
+    removed_.erase(it);
+    std::erase(removed_names_, name);
+}
+
 void object_cache::store(const object_change& change, std::uint64_t era)
 {
     objects_[change.name] = {change.content, era};
-    removed_.erase(change.name);
+    forget_removed(change.name);
 }
 
 void object_cache::remember_removed(const std::string& name, std::uint64_t era)
@@ -50,13 +87,14 @@
     const auto known = objects_.find(name);
     if (known == objects_.end())
         return;
+    forget_removed(name);
+    removed_bytes_ += memory_of(name, known->second.content);
     removed_[name] = {std::move(known->second.content), era};
     removed_names_.push_back(name);
     objects_.erase(known);
-    if (removed_names_.size() <= max_removed)
-        return;
-    removed_.erase(removed_names_.front());
-    removed_names_.pop_front();
+    while (removed_names_.size() > max_removed ||
+           removed_bytes_ > max_past_bytes_ / 2)
+        forget_removed(std::string(removed_names_.front()));
 }
 
 std::vector<object_change>
@@ -90,7 +128,7 @@
         position_ != store_position{} && position.era == position_.era;
     if (!same_era)
     {
-        history_.clear();
+        clear_history();
         compacted_revision_ = position.revision;
     }
     position_ = std::max(position_, position);
--- a/lib/http/process_limits.cpp
+++ b/lib/http/process_limits.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t connections_share = 3;
 constexpr std::size_t budget_share = 3;
 constexpr std::size_t answers_share = 2;
+constexpr std::size_t past_share = 1;
 constexpr std::size_t max_answer_bytes = std::size_t{48} << 20;
 // A connection with its parser, beside its buffers.
 constexpr std::size_t connection_object_bytes = std::size_t{2} * 1024;
@@ -49,6 +50,7 @@
     out.made = sockets - std::min(sockets, out.accepted + other_sockets);
     out.unfinished_answer_bytes =
         std::min(part_of(memory, answers_share), max_answer_bytes);
+    out.past_bytes = part_of(memory, past_share);
     return out;
 }
 
--- a/unittests/gateway/object_cache_test.cpp
+++ b/unittests/gateway/object_cache_test.cpp
@@ -94,6 +94,47 @@
 // Guards against CONFIG of 2026-12-04: the store came back from a copy, and a
 // VM went on to compare the revisions that it gave out again with those of
 // before. Its readers then got no changes any more.
+// Guards against a VM whose memory grows with each configuration: changes and
+// removed objects were counted, not their bytes.
+TEST(object_cache, what_it_keeps_of_the_past_is_bounded_in_bytes)
+{
+    constexpr std::size_t large = 300'000;
+    cache.replace({{"main", std::string(large, '0'), false}}, {1, 10});
+    std::uint64_t revision = 10;
+    for (int n = 0; n < 200; ++n)
+    {
+        const std::string content(large, static_cast<char>('a' + n % 26));
+        cache.apply({{"main", content, false}}, {1, ++revision});
+        const auto name = "gone" + std::to_string(n);
+        cache.apply({{name, content, false}}, {1, ++revision});
+        cache.apply({{name, {}, true}}, {1, ++revision});
+    }
+    CHECK_FALSE(cache.changes_since({1, 11}).has_value());
+    LONGS_EQUAL(1, cache.list().changes.size());
+    // The latest changes are there for those who follow closely.
+    LONGS_EQUAL(2, cache.changes_since({1, revision - 2})->changes.size());
+    std::size_t bytes = 0;
+    for (auto from = revision; cache.changes_since({1, from}); --from)
+        bytes += cache.changes_since({1, from - 1})
+                     ? cache.changes_since({1, from - 1})
+                           ->changes.front()
+                           .content.size()
+                     : 0;
+    CHECK(bytes <= gateway::object_cache::default_max_past_bytes);
+}
+
+// One change may be larger than all that may be kept.
+TEST(object_cache, a_change_beyond_the_bound_is_applied_and_not_kept)
+{
+    gateway::object_cache small(order_of, 1'000);
+    small.replace({}, {1, 10});
+    small.apply({{"a", std::string(5'000, 'x'), false}}, {1, 11});
+    CHECK_FALSE(small.changes_since({1, 10}).has_value());
+    CHECK(small.changes_since({1, 11}).has_value());
+    LONGS_EQUAL(5'000, small.list().changes.at(0).content.size());
+    LONGS_EQUAL(0, small.past_bytes());
+}
+
 TEST(object_cache, a_reader_from_before_a_copy_lists_again)
 {
     cache.replace({{"a", "1", false}}, {1, 90});
