Latencies that keep all queries out are forgotten

Cause: admission believes in latencies that only admitted queries measure, so that a refusal confirms itself. Why it works: where latencies would refuse a query and none was added for a second, they are forgotten; the next queries measure anew. Latencies of searches that the configuration names no more go as well.

--- a/include/mimosacroft/gateway/gateway.hpp
+++ b/include/mimosacroft/gateway/gateway.hpp
@@ -179,6 +179,7 @@
     bool can_be_served(const search& it) const;
     /// Whether it is likely to be answered before this VM stops.
     bool has_time_before_stop(const search& it, base::instant now) const;
+    bool is_overloaded(const search& it, base::instant now, base::instant due);
     bool has_capacity(const search& it, base::instant now,
                       base::instant due) const;
     bool can_be_sent(const query& q, const part& p, bool may_relay,
@@ -310,6 +311,8 @@
     std::unordered_map<std::string, arrival_budget> budgets_; ///< by service
     std::unordered_map<std::string, base::latency_tracker>
         latencies_; ///< of servers, by search
+    /// When the last of them was added, by search.
+    std::unordered_map<std::string, base::instant> latency_added_at_;
     std::unordered_map<std::string, base::latency_tracker>
         relay_latencies_; ///< by search
     /// Longest deadline seen of each search's callers, by name. A shorter
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -49,6 +49,13 @@
     if (catalog_ && next->version() <= catalog_->version())
         return false;
     catalog_ = std::move(next);
+    // Configurations may name other searches each time.
+    const auto is_gone = [this](const auto& item)
+    { return !catalog_->has_search(item.first); };
+    std::erase_if(latencies_, is_gone);
+    std::erase_if(latency_added_at_, is_gone);
+    std::erase_if(relay_latencies_, is_gone);
+    std::erase_if(max_deadlines_, is_gone);
     return true;
 }
 
--- a/lib/gateway/gateway_admission.cpp
+++ b/lib/gateway/gateway_admission.cpp
@@ -24,6 +24,9 @@
 // report still arrives.
 constexpr milliseconds give_up_margin{15};
 constexpr milliseconds min_deadline{5};
+// Latencies that keep queries from being admitted hold for so long without new
+// ones.
+constexpr milliseconds latency_lifetime{1'000};
 
 constexpr milliseconds min_retry_after{40};
 constexpr milliseconds retry_after_jitter{80};
@@ -130,6 +133,22 @@
                   it.min_coverage);
 }
 
+// Latencies are measured on queries that are admitted. Where these were so long
+// that all are refused, nothing would ever prove them wrong: without a new one
+// for a while they are forgotten, and the next queries measure them anew.
+bool gateway::is_overloaded(const search& it, instant now, instant due)
+{
+    if (has_capacity(it, now, due))
+        return false;
+    const auto added = latency_added_at_.find(it.name);
+    if (added == latency_added_at_.end() ||
+        now - added->second < latency_lifetime)
+        return true;
+    latencies_.erase(it.name);
+    latency_added_at_.erase(added);
+    return !has_capacity(it, now, due);
+}
+
 bool gateway::can_be_sent(const query& q, const part& p, bool may_relay,
                           instant now)
 {
@@ -236,7 +255,7 @@
         return refusal::overloaded;
     const auto due = q.started + 2 * of.latency_objective;
     if (of.is_scattered() && options_.use.admission &&
-        !has_capacity(of, now, due))
+        is_overloaded(of, now, due))
         return refusal::overloaded;
     if (!has_permits(q, options_.use.relaying, now))
         return refusal::overloaded;
--- a/lib/gateway/gateway_exchange.cpp
+++ b/lib/gateway/gateway_exchange.cpp
@@ -272,6 +272,7 @@
         {
             if (from->failures >= ejection_event_failures)
                 out.events.push_back(returned_event(*from));
+            latency_added_at_[it.search] = now;
             latencies_[it.search].add(
                 now - it.sent_at -
                 server_pool::round_trip(from->network_distance));
--- a/unittests/gateway/scattered_test.cpp
+++ b/unittests/gateway/scattered_test.cpp
@@ -199,6 +199,52 @@
     LONGS_EQUAL(0, b.subject.open_exchanges());
 }
 
+// Guards against a VM that starts beside slow servers and refuses every query
+// for good: what it believes of their latency came from them alone, and only
+// queries can prove it wrong.
+TEST(scattered, a_belief_in_slow_servers_ends_when_they_are_fast_again)
+{
+    // For 2 s servers take 700 ms, as the first that this VM sees of them.
+    std::vector<std::pair<base::instant, gateway::exchange_number>> due;
+    const auto slow_until = b.now + milliseconds(2'000);
+    std::size_t served_at_end = 0;
+    std::size_t asked_at_end = 0;
+    std::size_t refused = 0;
+    const auto count = [&](const gateway::effects& out)
+    {
+        for (const auto& it : out.sends)
+            due.emplace_back(b.now + (b.now < slow_until ? milliseconds(700)
+                                                         : milliseconds(10)),
+                             it.number);
+        for (const auto& it : out.answers)
+        {
+            const bool is_served =
+                std::holds_alternative<gateway::merged>(it.reply);
+            const auto* why = std::get_if<gateway::refused>(&it.reply);
+            refused +=
+                why != nullptr && why->why == gateway::refusal::overloaded;
+            served_at_end +=
+                is_served && b.now > slow_until + milliseconds(4'000);
+        }
+    };
+    for (int n = 0; n < 800; ++n)
+    {
+        count(b.open("/all/q"));
+        asked_at_end += b.now > slow_until + milliseconds(4'000);
+        const auto ready = std::ranges::partition(due, [this](const auto& it)
+                                                  { return it.first > b.now; });
+        const std::vector<std::pair<base::instant, gateway::exchange_number>>
+            replies(ready.begin(), ready.end());
+        due.erase(ready.begin(), ready.end());
+        for (const auto& it : replies)
+            count(b.reply(it.second));
+        count(b.tick(milliseconds(10)));
+    }
+    CHECK(refused > 0);
+    CHECK(asked_at_end > 100);
+    CHECK(served_at_end >= asked_at_end * 9 / 10);
+}
+
 // The process has too many callers; the one that waits longest is answered.
 TEST(scattered, a_query_that_is_given_up_is_answered_and_cancelled)
 {
