A framing that two readers read differently is refused

What could happen: the body after "Transfer-Encoding: gzip" was taken for the next request. Cause: the parser passes over what it does not know; numbers were not bounded. Evidence: server.a_framing_that_can_be_read_in_two_ways_is_refused and client.an_endless_keep_alive_time_is_bounded failed before. Why it works: only one "chunked" in HTTP/1.1, or a length that is one number, is a framing; anything else is 400 and the end of the connection.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -28,6 +28,7 @@
 // A kept connection is ended this much before the peer would end it, so that no
 // request crosses the peer's close.
 constexpr base::milliseconds idle_margin{500};
+constexpr std::uint64_t max_idle_seconds = 3'600;
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
@@ -81,7 +82,7 @@
     const auto seconds = base::to_number(digits.substr(0, end));
     if (!seconds)
         return std::nullopt;
-    return base::seconds(*seconds);
+    return base::seconds(std::min<std::uint64_t>(*seconds, max_idle_seconds));
 }
 
 /// What a connection is doing. Answers are read while `writing` and `waiting`.
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -62,6 +62,27 @@
     return out;
 }
 
+// The parser passes over a transfer coding that it does not know, and takes the
+// body for the next request. Another reader may see a body there (RFC 9112,
+// section 6.3); one that both read alike is "chunked" alone, since HTTP/1.1.
+bool has_ambiguous_framing(const parser_type::value_type& message)
+{
+    const auto length = message[beast_http::field::content_length];
+    const bool is_one_number =
+        message.count(beast_http::field::content_length) <= 1 &&
+        std::ranges::all_of(length,
+                            [](char c) { return c >= '0' && c <= '9'; });
+    if (!is_one_number)
+        return true;
+    const auto codings = message.count(beast_http::field::transfer_encoding);
+    if (codings == 0)
+        return false;
+    constexpr unsigned version_1_1 = 11;
+    const auto value = message[beast_http::field::transfer_encoding];
+    return codings > 1 || message.version() < version_1_1 ||
+           !same_name({value.data(), value.size()}, "chunked");
+}
+
 // What the parser holds of a head.
 std::size_t head_memory_of(const parser_type::value_type& message)
 {
@@ -278,7 +299,11 @@
         const bool is_endless =
             outcome == parse_outcome::needs_more &&
             in_.pending.size() > owner_->limits.header_bytes;
-        if (outcome == parse_outcome::whole)
+        const bool is_ambiguous =
+            parser_->is_header_done() && has_ambiguous_framing(parser_->get());
+        if (is_ambiguous && outcome != parse_outcome::broken)
+            refuse(status_bad_request);
+        else if (outcome == parse_outcome::whole)
             hand_out();
         else if (is_endless)
             refuse(status_headers_too_large);
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -476,6 +476,34 @@
     }
 }
 
+// A time beyond all sense must not overflow.
+TEST(client, an_endless_keep_alive_time_is_bounded)
+{
+    for (const std::string time :
+         {"99999999999999999", "9223372036854775807", "18446744073709551615"})
+    {
+        http::client other{
+            io,
+            {.on_reply = [this](auto n, http::response&& reply)
+             { replies[n] = std::move(reply); },
+             .on_failure = [this](auto n, auto why) { failures[n] = why; }}};
+        loop_peer server{io};
+        server.accept(acceptor);
+        replies.clear();
+        for (http::exchange_number n = 1; n <= 2; ++n)
+        {
+            server.forget();
+            other.send(n, at, {"GET", "/a", {}, ""});
+            CHECK(run_until(io, [&] { return !server.got().empty(); }));
+            server.send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + time +
+                        "\r\nContent-Length: 2\r\n\r\nok");
+            wait_for(n);
+        }
+        LONGS_EQUAL(1, other.opened());
+        server.close();
+    }
+}
+
 TEST(client, a_shared_body_is_sent_whole_on_each_connection)
 {
     const auto body = std::make_shared<const std::string>(1 << 20, 'x');
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -271,3 +271,49 @@
     CHECK(run_until(io, [&] { return caller.ended(); }));
     CHECK(caller.got().ends_with("\r\n\r\n"));
 }
+
+// Two readers could take these for different requests, or for one with a body
+// of other bytes: each is refused, and what follows is never run.
+TEST(server, a_framing_that_can_be_read_in_two_ways_is_refused)
+{
+    const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string chunked_body = "4\r\nbody\r\n0\r\n\r\n";
+    const std::vector<std::string> heads = {
+        post + "Transfer-Encoding: gzip\r\n\r\n",
+        post + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+        post + "Transfer-Encoding: chunked, gzip\r\n\r\n",
+        post + "Transfer-Encoding: chunked, chunked\r\n\r\n",
+        post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"
+               "\r\n\r\n",
+        post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity"
+               "\r\n\r\n",
+        post + "Transfer-Encoding: identity\r\n\r\n",
+        post + "Transfer-Encoding: xchunked\r\n\r\n",
+        post + "Transfer-Encoding:\r\n\r\n",
+        post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n",
+        post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        post + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n",
+        post + "Content-Length: 4, 4\r\n\r\n",
+        post + "Content-Length: +4\r\n\r\n",
+        post + "Content-Length: -4\r\n\r\n",
+        post + "Content-Length: 0x4\r\n\r\n",
+        post + "Content-Length : 4\r\n\r\n",
+        "POST /a HTTP/1.1\nHost: h\nContent-Length: 4\n\n",
+        post + "Content-Length: 4\n\r\n"};
+    for (const auto& head : heads)
+        for (const auto& body : {chunked_body, std::string("body")})
+        {
+            loop_peer other{io};
+            other.connect(at);
+            other.send(head);
+            other.send(body);
+            other.send(hidden);
+            CHECK_TEXT(run_until(io, [&] { return other.ended(); }),
+                       head.c_str());
+            CHECK_TEXT(other.got().find(" 400 ") != std::string::npos,
+                       head.c_str());
+            CHECK_TEXT(requests.empty(), head.c_str());
+        }
+}
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -79,6 +79,9 @@
     CHECK(deadline_of("-5") == milliseconds(0));
     CHECK(deadline_of("12.9") == milliseconds(12));
     CHECK(deadline_of("1e300") == milliseconds(3'600'000));
+    CHECK(deadline_of("inf") == milliseconds(3'600'000));
+    CHECK_FALSE(deadline_of("nan").has_value());
+    CHECK_FALSE(deadline_of("-nan").has_value());
     CHECK_FALSE(deadline_of("soon").has_value());
     CHECK_FALSE(deadline_of("").has_value());
 }
