--- a/unittests/crowd/entry_under_test.cpp
+++ b/unittests/crowd/entry_under_test.cpp
@@ -168,9 +168,12 @@
                                    const std::string& path)
 {
     static int last = 0;
-    return method + " " + path + " HTTP/1.1\r\nHost: " + host +
-           "\r\nMimosacroft-Request-Id: crowd" + std::to_string(++last) +
-           "\r\nMimosacroft-Deadline-Ms: 30000\r\n";
+    const auto request = make_caller_request("crowd" + std::to_string(++last),
+                                             host, path, longest_timeout);
+    std::string out = method + " " + path + " HTTP/1.1\r\n";
+    for (const auto& it : request.headers)
+        out.append(it.name).append(": ").append(it.value).append("\r\n");
+    return out;
 }
 
 bool entry_under_test::serves() const
