An answer that is being read stays before one that nobody reads

What could be seen: beside a crowd that reads nothing, an ordinary caller whose answer takes longer to read than the crowd's have waited had it cut. Cause: the order of who is turned away counted from the beginning of an answer, not from when its caller last took some of it. Evidence: server_limits.an_answer_that_is_read_stays_before_one_that_nobody_reads fails without the change. Why it works: the time begins anew as the caller takes some; one that takes a byte now and then still ends in time. Times below a second are not compared.

--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -201,6 +201,7 @@
     void sweep_request(base::instant now);
     void estimate_head();
     std::size_t held_bytes() const;
+    base::instant waiting_since() const;
     void count_held();
     void shed();
 
@@ -419,7 +420,9 @@
             end();
         return;
     case connection_state::writing:
-        if (now - since_ < limits.transfer_time())
+        count_held();
+        if (state_ != connection_state::writing ||
+            now - since_ < limits.transfer_time())
             return;
         owner_->budget->count(shed_reason::slow_answer);
         end();
@@ -474,7 +477,13 @@
     const auto held = held_bytes();
     const auto counted =
         held - std::min(held, server_budget::free_bytes_per_connection);
-    account_.set_sheddable(counted, since_);
+    account_.set_sheddable(counted, waiting_since());
+}
+
+// An answer waits since its caller last took some of it.
+base::instant server::impl::connection::waiting_since() const
+{
+    return state_ == connection_state::writing ? out_.last_progress() : since_;
 }
 
 // The caller holds more than its share of what all callers may hold. A request
@@ -522,7 +531,7 @@
 {
     const auto held =
         std::max(held_bytes(), server_budget::free_bytes_per_connection);
-    return shed_order(held, since_, now);
+    return shed_order(held, waiting_since(), now);
 }
 
 bool server::impl::connection::may_give_up(base::instant now) const
--- a/lib/http/server_budget.cpp
+++ b/lib/http/server_budget.cpp
@@ -15,6 +15,8 @@
 // Requests that are worked on may hold this part of all bytes, so that there is
 // always room for those that arrive.
 constexpr std::size_t kept_divisor = 2;
+// Shorter times are not compared: each transfer takes some.
+constexpr base::milliseconds moment{1'000};
 
 } // namespace
 
@@ -69,12 +71,15 @@
 }
 
 // The one that holds most for longest. A caller inside the limits holds little,
-// or only for a moment.
+// or only for a moment; among those that have just come the largest goes.
 budget_account* server_budget::first_to_shed() const
 {
     const auto now = base::now();
     const auto order = [now](const budget_account* it)
-    { return shed_order(it->sheddable_, it->since_, now); };
+    {
+        const auto since = std::min<base::instant>(it->since_, now - moment);
+        return shed_order(it->sheddable_, since, now);
+    };
     const auto it = std::ranges::max_element(accounts_, {}, order);
     return it == accounts_.end() || (*it)->sheddable_ == 0 ? nullptr : *it;
 }
