The request that takes longest makes room also beside an answer on its way

What could be seen: with a request or an answer on each connection, a new caller was closed although a request had been worked on for over a second, if the oldest connection was one whose answer is being read. Cause: the oldest of all connections was looked at, not the oldest request. Found by reading; no test of its own (server_limits.* and the crowds pass).

--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -633,8 +633,10 @@
         first->end();
         return true;
     }
-    const auto oldest = *std::ranges::min_element(all, {}, [](const auto& it)
-                                                  { return it->since(); });
+    const auto begun = [now](const auto& it)
+    { return it->may_give_up(now) ? it->since() : base::never; };
+    const auto oldest =
+        std::shared_ptr(*std::ranges::min_element(all, {}, begun));
     return oldest->may_give_up(now) && oldest->give_up();
 }
 
