A VM that fell behind lists in place of reading every change

Cause: a watch of the store answers with every change since the last one, each whole, though only the last matters. The more there are, the longer they take, and the more there are in the next answer: up to 32 MB of text, some seven times that once parsed. Change: the client takes a limit for one answer and does not read one that is announced larger. A watch has 2 MiB or twice what a list would hold; beyond that the VM lists the objects, which is less to read.

--- a/include/mimosacroft/entry/entry_metrics.hpp
+++ b/include/mimosacroft/entry/entry_metrics.hpp
@@ -29,6 +29,8 @@
     void collect(const store_watch& source, base::instant now);
     void collect(const event_writer& source);
     void collect(const http::server_budget& source);
+    /// Memory of this process now.
+    void collect_memory();
     /// Connections at one of the ports now.
     void collect_accepted(const std::string& port, std::size_t connections);
     void collect_traffic(const std::string& peer,
--- a/include/mimosacroft/entry/store_watch.hpp
+++ b/include/mimosacroft/entry/store_watch.hpp
@@ -9,17 +9,29 @@
 #include "mimosacroft/gateway/object_sources.hpp"
 #include "mimosacroft/http/client.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosacroft::entry
 {
 
+/// Why the objects are listed once more although a list was there.
+enum class list_reason
+{
+    history_gone,     ///< the source has no changes back to the last position
+    too_many_changes, ///< these would be more to read than the objects
+    new_era,          ///< the store came back from a copy
+};
+inline constexpr std::size_t list_reason_count = 3;
+
 class store_watch
 {
 public:
@@ -34,6 +46,10 @@
         std::function<void(std::uint64_t era)> on_new_era = [](auto) {};
         /// A call to the store failed, not one to another VM; `text` tells why.
         std::function<void(const std::string& text)> on_failure;
+        /// The objects are listed once more; `source` is the address of the VM
+        /// that has them, empty for the store.
+        std::function<void(list_reason why, const std::string& source)>
+            on_list_again = [](auto, const auto&) {};
         /// So many objects have no readable name and were left out.
         std::function<void(std::size_t count)> on_unreadable = [](auto) {};
         /// A call ended: the cache may have changes to serve to other VMs, and
@@ -67,6 +83,11 @@
     base::duration age(base::instant now) const { return now - synced_at_; }
     /// Calls made to the store itself.
     std::uint64_t store_calls() const { return store_calls_; }
+    /// How often the objects were listed once more, for this reason.
+    std::uint64_t lists_again(list_reason why) const
+    {
+        return lists_again_.at(static_cast<std::size_t>(why));
+    }
     /// Bytes sent and received.
     http::traffic moved() const { return client_.moved(); }
     /// Whether the last call failed.
@@ -79,6 +100,10 @@
     bool is_outdated(const spread_answer& answer) const;
     void apply_batch(const spread_answer& answer, base::instant now);
     void apply_list(const gateway::object_batch& list);
+    /// Largest answer to a watch that is read, in bytes.
+    std::size_t max_watch_bytes() const;
+    void list_again(list_reason why, base::instant now);
+    void on_failure(http::exchange_failure why);
     void on_call_failed(const std::string& text);
     /// From 0 to 1.
     double random_jitter();
@@ -94,6 +119,7 @@
     http::client client_;
     http::exchange_number last_call_ = 0;
     std::uint64_t store_calls_ = 0;
+    std::array<std::uint64_t, list_reason_count> lists_again_{}; ///< by reason
     gateway::follow_step call_step_ = gateway::follow_step::list;
     /// Address of the VM called last; empty for the store.
     std::string call_source_;
@@ -105,4 +131,12 @@
 
 } // namespace mimosacroft::entry
 
+template <>
+struct mimosacroft::base::enum_names<mimosacroft::entry::list_reason>
+{
+    static constexpr std::array<std::string_view,
+                                mimosacroft::entry::list_reason_count>
+        table = {"history_gone", "too_many_changes", "new_era"};
+};
+
 #endif
--- a/include/mimosacroft/gateway/object_cache.hpp
+++ b/include/mimosacroft/gateway/object_cache.hpp
@@ -56,6 +56,9 @@
     /// Of changes and removed objects, with what they are kept in.
     std::size_t past_bytes() const { return history_bytes_ + removed_bytes_; }
 
+    /// Of the current objects, with what they are kept in.
+    std::size_t object_bytes() const;
+
     /// Returns all objects.
     object_batch list() const;
     /// Returns the changes after a position, or nothing if the history does not
--- a/include/mimosacroft/http/client.hpp
+++ b/include/mimosacroft/http/client.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mimosacroft::http
@@ -25,6 +26,7 @@
     not_sent,  ///< no connection was made: no byte of the request left
     lost,      ///< the connection ended after the request was written
     malformed, ///< what came back is no whole answer of this request
+    too_large, ///< the answer exceeds the limit that the request set for it
 };
 
 /// How a response that arrived on a connection relates to its exchange.
@@ -79,6 +81,10 @@
         /// The request's body, if other requests share it; its own is not sent
         /// then.
         shared_body body = nullptr;
+        /// Largest body of the answer, in bytes. One that is announced larger
+        /// is not read. Without it, that of the client holds, and a larger
+        /// answer is malformed.
+        std::optional<std::size_t> answer_bytes = std::nullopt;
     };
 
     /// Sends a request on a kept connection or a new one. Nothing is called
@@ -113,8 +119,8 @@
 template <>
 struct mimosacroft::base::enum_names<mimosacroft::http::exchange_failure>
 {
-    static constexpr std::array<std::string_view, 3> table = {
-        "not_sent", "lost", "malformed"};
+    static constexpr std::array<std::string_view, 4> table = {
+        "not_sent", "lost", "malformed", "too_large"};
 };
 
 #endif
--- a/lib/entry/daemon.cpp
+++ b/lib/entry/daemon.cpp
@@ -86,6 +86,7 @@
     case http::exchange_failure::lost:
         return gateway::send_failure::lost;
     case http::exchange_failure::malformed:
+    case http::exchange_failure::too_large:
         break;
     }
     return gateway::send_failure::malformed;
@@ -581,6 +582,7 @@
     metrics_.collect_traffic("vms asked", relay_client_.moved());
     metrics_.collect_traffic("callers", caller_server_.moved());
     metrics_.collect(*budget_);
+    metrics_.collect_memory();
     metrics_.collect_accepted("callers", caller_server_.connections());
     metrics_.collect_accepted("readiness", readiness_server_.connections());
     if (peer_server_)
--- a/lib/entry/entry_metrics.cpp
+++ b/lib/entry/entry_metrics.cpp
@@ -1,6 +1,9 @@
 // The metrics of an entry VM.
 #include "mimosacroft/entry/entry_metrics.hpp"
 
+#include <fstream>
+#include <unistd.h>
+
 namespace mimosacroft::entry
 {
 
@@ -100,6 +103,17 @@
                   to_metric_value(source.cache().position().era));
     registry_.set(with_label("mimosa_past_bytes", "kind", source.kind()),
                   to_metric_value(source.cache().past_bytes()));
+    registry_.set(with_label("mimosa_object_bytes", "kind", source.kind()),
+                  to_metric_value(source.cache().object_bytes()));
+    for (std::size_t n = 0; n < list_reason_count; ++n)
+    {
+        const auto why = static_cast<list_reason>(n);
+        const auto lists = with_label("mimosa_objects_listed_again_total",
+                                      "kind", source.kind());
+        registry_.set(
+            with_label(lists, "reason", std::string(base::name_of(why))),
+            to_metric_value(source.lists_again(why)));
+    }
     if (source.is_complete())
         registry_.set(
             with_label("mimosa_store_age_seconds", "kind", source.kind()),
@@ -131,6 +145,17 @@
     }
 }
 
+void entry_metrics::collect_memory()
+{
+    std::ifstream in("/proc/self/statm");
+    std::uint64_t program_pages = 0;
+    std::uint64_t resident_pages = 0;
+    if (in >> program_pages >> resident_pages)
+        registry_.set("mimosa_resident_bytes",
+                      to_metric_value(resident_pages) *
+                          static_cast<double>(::sysconf(_SC_PAGESIZE)));
+}
+
 void entry_metrics::collect_accepted(const std::string& port,
                                      std::size_t connections)
 {
--- a/lib/entry/store_feed.cpp
+++ b/lib/entry/store_feed.cpp
@@ -107,6 +107,14 @@
     out.on_new_era = [this](std::uint64_t era) { on_new_era(era); };
     out.on_failure = [this, name = std::string(kind)](const std::string& text)
     { on_failure(name, text); };
+    out.on_list_again = [this, name = std::string(kind)](
+                            list_reason why, const std::string& source)
+    {
+        log_.write({event_id::objects_listed_again,
+                    {{"kind", name},
+                     {"peer", source.empty() ? "store" : source},
+                     {"reason", std::string(base::name_of(why))}}});
+    };
     out.on_unreadable = [this, name = std::string(kind)](std::size_t count)
     {
         log_.write({event_id::object_refused,
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -25,6 +25,11 @@
 // the VM that asks learns at once that it has to use another source.
 constexpr int max_served_age_in_waits = 4;
 constexpr std::size_t max_reply_bytes = std::size_t{32} << 20;
+// An answer to a watch holds each change since the last one, however many there
+// were, while a list holds each object once. Beyond this the list is less to
+// read. One change of the largest object is never too much.
+constexpr std::size_t min_watch_limit_bytes = std::size_t{2} << 20;
+constexpr std::size_t watch_limit_in_lists = 2;
 
 http::client_options make_client_options()
 {
@@ -56,7 +61,7 @@
                .on_failure =
                    [this](auto, http::exchange_failure reason)
                {
-                   on_call_failed(std::string(base::name_of(reason)));
+                   on_failure(reason);
                    handlers_.on_call_ended();
                }},
               make_client_options())
@@ -111,10 +116,38 @@
         return;
     }
     store_calls_ += source.is_store() ? 1 : 0;
+    http::client::send_options options;
+    if (call.step == gateway::follow_step::watch)
+        options.answer_bytes = max_watch_bytes();
     client_.send(++last_call_, *endpoint,
                  source.is_store()
                      ? platform::encode_list_or_watch(kind_, sent_call, address)
-                     : encode_spread_request({kind_, sent_call}, address));
+                     : encode_spread_request({kind_, sent_call}, address),
+                 options);
+}
+
+std::size_t store_watch::max_watch_bytes() const
+{
+    return std::max(min_watch_limit_bytes,
+                    watch_limit_in_lists * cache_.object_bytes());
+}
+
+void store_watch::list_again(list_reason why, base::instant now)
+{
+    ++lists_again_.at(static_cast<std::size_t>(why));
+    follower_.on_history_gone(now);
+    handlers_.on_list_again(why, call_source_);
+}
+
+void store_watch::on_failure(http::exchange_failure why)
+{
+    if (why != http::exchange_failure::too_large)
+    {
+        on_call_failed(std::string(base::name_of(why)));
+        return;
+    }
+    call_deadline_ = base::never;
+    list_again(list_reason::too_many_changes, base::now());
 }
 
 void store_watch::on_call_failed(const std::string& text)
@@ -147,7 +180,7 @@
     const auto answer = decode(reply);
     if (!answer && answer.error().code == base::error_code::not_found)
     {
-        follower_.on_history_gone(now);
+        list_again(list_reason::history_gone, now);
         return;
     }
     if (!answer)
@@ -164,7 +197,7 @@
     if (call_step_ == gateway::follow_step::watch &&
         answer->batch.position.era > follower_.position().era)
     {
-        follower_.on_history_gone(now);
+        list_again(list_reason::new_era, now);
         return;
     }
     apply_batch(*answer, now);
--- a/lib/gateway/object_cache.cpp
+++ b/lib/gateway/object_cache.cpp
@@ -169,6 +169,14 @@
     return out;
 }
 
+std::size_t object_cache::object_bytes() const
+{
+    std::size_t out = 0;
+    for (const auto& [name, known] : objects_)
+        out += memory_of(name, known.content);
+    return out;
+}
+
 object_batch object_cache::list() const
 {
     object_batch out;
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -173,7 +173,7 @@
     base::instant last_use() const { return last_use_; }
     std::size_t received() const { return received_; }
     void start(exchange_number number, const request& message,
-               shared_body body);
+               const send_options& options);
     /// Ends an exchange that has not started, later.
     void refuse(exchange_number number);
     void end();
@@ -212,6 +212,7 @@
     exchange_history carried_;
     std::size_t received_ = 0; ///< bytes, in this exchange
     bool is_head_ = false;
+    std::optional<std::size_t> answer_bytes_; ///< of the exchange's own limit
     // Allowed changes: starting, writing, waiting, idle, starting again; from
     // each to ended. So an idle connection has written its whole request and
     // read its whole answer, and nothing still refers to `out_`.
@@ -223,15 +224,18 @@
 };
 
 void client::impl::connection::start(exchange_number number,
-                                     const request& message, shared_body body)
+                                     const request& message,
+                                     const send_options& options)
 {
     state_ = connection_state::starting;
     number_ = number;
     carried_.add(number);
     is_head_ = message.method == "HEAD";
+    answer_bytes_ = options.answer_bytes;
+    const auto& body = options.body;
     auto bytes =
         body ? serialize_head(message, body->size()) : serialize(message);
-    out_.set(std::move(bytes), std::move(body));
+    out_.set(std::move(bytes), body);
     owner_->moved.sent += out_.size();
     last_use_ = base::now();
     start_parser();
@@ -255,7 +259,7 @@
 void client::impl::connection::start_parser()
 {
     parser_.emplace();
-    parser_->body_limit(owner_->options.body_bytes);
+    parser_->body_limit(answer_bytes_.value_or(owner_->options.body_bytes));
     // An eager parser reserves the announced length of a body although it
     // exceeds the limit.
     parser_->eager(false);
@@ -382,7 +386,9 @@
     const auto outcome = feed(*parser_, in_.pending, ec);
     const bool is_endless = outcome == parse_outcome::needs_more &&
                             in_.pending.size() > max_unparsed_bytes;
-    if (outcome == parse_outcome::broken || is_endless)
+    if (ec == beast_http::error::body_limit && answer_bytes_)
+        fail(exchange_failure::too_large);
+    else if (outcome == parse_outcome::broken || is_endless)
         fail(exchange_failure::malformed);
     return outcome == parse_outcome::whole;
 }
@@ -606,7 +612,7 @@
         it = std::make_shared<impl::connection>(impl_, to);
     impl_->busy.emplace(number, it);
     if (has_room)
-        it->start(number, message, options.body);
+        it->start(number, message, options);
     else
         it->refuse(number);
 }
--- a/unittests/crowd/entry_crowd_test.cpp
+++ b/unittests/crowd/entry_crowd_test.cpp
@@ -4,6 +4,7 @@
 // connections each of these crowds exceeds a limit.
 #include "entry_under_test.hpp"
 
+#include "mimosacroft/base/clock.hpp"
 #include "mimosacroft/entry/relay_codec.hpp"
 #include "mimosacroft/entry/spread_codec.hpp"
 #include "platform/store.hpp"
@@ -131,6 +132,24 @@
     }
 };
 
+// Guards against LOST by memory (issue 43): a process that had stood still, or
+// was slow, read all configurations since in one answer, and all of them at
+// once.
+TEST(entry_crowd, configurations_that_come_while_the_process_stands_still)
+{
+    constexpr std::size_t searches = 1'916;
+    constexpr std::size_t storm = 60;
+    start();
+    vm->stand_still();
+    vm->configure(searches, storm);
+    vm->go_on();
+    const auto end = base::now() + base::seconds(20);
+    while (!vm->is_configured() && base::now() < end)
+        usage->sample();
+    CHECK(vm->is_configured());
+    check_holds();
+}
+
 TEST(entry_crowd, bodies_with_a_length)
 {
     start();
--- a/unittests/crowd/entry_under_test.cpp
+++ b/unittests/crowd/entry_under_test.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -41,6 +42,12 @@
     return out;
 }
 
+/// Of a search that only this version has.
+std::string version_name(std::uint64_t version)
+{
+    return "version" + std::to_string(version);
+}
+
 std::string shard_name(std::size_t n)
 {
     return "shard" + std::to_string(n);
@@ -64,7 +71,7 @@
 entry_under_test::entry_under_test(entry_limits limits)
     : limits_(limits), ip_(own_ip()), store_(io_, endpoint(store_port))
 {
-    put_configuration();
+    put_configuration(0);
     add_server("record");
     for (std::size_t n = 0; n < shard_count; ++n)
         add_server(shard_name(n));
@@ -84,15 +91,19 @@
     return {http::asio::ip::make_address_v4(ip_), port};
 }
 
-void entry_under_test::put_configuration()
+void entry_under_test::put_configuration(std::size_t added_searches)
 {
-    const std::vector<gateway::search> searches = {
+    std::vector<gateway::search> searches = {
         make_search("record"), make_search("silent"), make_search("large"),
         make_survey()};
     std::vector<gateway::service_settings> services = {{"record", 1'000}};
     for (const auto& shard : searches.back().shards)
         services.push_back({shard, 1'000});
-    auto spec = configuration_spec(1, searches, services);
+    for (std::size_t n = 0; n < added_searches; ++n)
+        searches.push_back(make_search("added" + std::to_string(n)));
+    ++version_;
+    searches.push_back(make_search(version_name(version_)));
+    auto spec = configuration_spec(version_, searches, services);
     spec["limits"] = {{"maxHeaderBytes", limits_.header_bytes},
                       {"maxBodyBytes", limits_.body_bytes},
                       {"headerTimeoutMs", limits_.header_time.count()},
@@ -101,6 +112,25 @@
                configuration_object_name, spec);
 }
 
+void entry_under_test::configure(std::size_t added_searches, std::size_t times)
+{
+    std::promise<void> done;
+    http::asio::post(io_,
+                     [&]
+                     {
+                         for (std::size_t n = 0; n < times; ++n)
+                             put_configuration(added_searches);
+                         done.set_value();
+                     });
+    done.get_future().wait();
+}
+
+bool entry_under_test::is_configured() const
+{
+    const auto path = "/" + version_name(version_) + "/1";
+    return ask(callers(), head("GET", path) + "\r\n") == 200U;
+}
+
 void entry_under_test::add_server(const std::string& service)
 {
     const auto at = endpoint(
@@ -130,7 +160,8 @@
                                          const http::request& message)
 {
     const bool is_large = message.target.starts_with("/large/");
-    const bool is_record = message.target.starts_with("/record/");
+    const bool is_record = message.target.starts_with("/record/") ||
+                           message.target.starts_with("/version");
     if (!is_large && !is_record)
         return;
     const auto question = decode_received_request(message);
--- a/unittests/crowd/entry_under_test.hpp
+++ b/unittests/crowd/entry_under_test.hpp
@@ -55,6 +55,15 @@
         return {caller_port, ready_port, peer_port, metrics_port};
     }
 
+    /// Writes a configuration with many more searches again and again, each
+    /// time with another version.
+    void configure(std::size_t added_searches, std::size_t times);
+    /// Stops the process for a while, or lets it go on.
+    void stand_still() { running_->signal(SIGSTOP); }
+    void go_on() { running_->signal(SIGCONT); }
+    /// Whether the latest configuration is in force.
+    bool is_configured() const;
+
     /// The head of a request for a path, without its last line. A path that
     /// begins with /silent/ is never answered, and one with /large/ with
     /// `large_answer_bytes`. /survey/ is asked of all shards, which stay
@@ -71,7 +80,7 @@
     static constexpr std::uint16_t first_server_port = 10'010;
 
     http::tcp::endpoint endpoint(std::uint16_t port) const;
-    void put_configuration();
+    void put_configuration(std::size_t added_searches);
     void add_server(const std::string& service);
     void on_server_request(http::server& at, http::request_number number,
                            const http::request& message);
@@ -83,7 +92,8 @@
     store_standin store_;
     std::vector<std::unique_ptr<http::server>> servers_;
     std::unique_ptr<process> running_;
-    std::thread standins_; ///< runs the store and the servers
+    std::uint64_t version_ = 0; ///< of the configuration
+    std::thread standins_;      ///< runs the store and the servers
 };
 
 } // namespace mimosacroft::tests
--- a/unittests/entry/store_watch_test.cpp
+++ b/unittests/entry/store_watch_test.cpp
@@ -107,6 +107,46 @@
     CHECK_FALSE(vm.objects.contains("a"));
 }
 
+// Guards against LOST by memory: configurations followed one another faster
+// than a VM with a small share of a processor read them. The answer to each of
+// its watches held all changes since the last one, so each was larger, and took
+// longer, than the one before.
+TEST(store_watch, a_vm_that_fell_behind_does_not_read_every_change)
+{
+    const std::string large(350'000, 'x');
+    store.put("things", "main", {{"n", 0}, {"text", large}});
+    CHECK(run_until([this] { return vm.watch.is_complete(); }));
+    const auto before = vm.watch.moved().received;
+    constexpr int changes = 60;
+    for (int n = 1; n <= changes; ++n)
+        store.put("things", "main", {{"n", n}, {"text", large}});
+    const auto is_current = [this, changes]
+    {
+        return vm.objects["main"].starts_with(R"({"n":)" +
+                                              std::to_string(changes) + ",");
+    };
+    CHECK(run_until(is_current));
+    // The watch that is given up, and the list that takes its place.
+    CHECK(vm.watch.moved().received - before < 4'000'000);
+    LONGS_EQUAL(2, vm.completed_lists);
+    LONGS_EQUAL(0, vm.failures);
+    LONGS_EQUAL(1, vm.watch.lists_again(entry::list_reason::too_many_changes));
+    // Later changes come by watches again.
+    store.put("things", "a", {{"n", 1}});
+    CHECK(run_until([this] { return vm.objects.contains("a"); }));
+    LONGS_EQUAL(2, vm.completed_lists);
+}
+
+// One change of the largest object that the store takes is not too much.
+TEST(store_watch, a_change_of_the_largest_object_comes_by_a_watch)
+{
+    store.put("things", "main", {{"n", 0}});
+    CHECK(run_until([this] { return vm.watch.is_complete(); }));
+    store.put("things", "main", {{"text", std::string(1'048'000, 'x')}});
+    CHECK(run_until([this] { return vm.objects["main"].size() > 1'000'000; }));
+    LONGS_EQUAL(1, vm.completed_lists);
+}
+
 // The store fails in each possible way, then recovers: objects read before are
 // kept, and the change made meanwhile arrives without a new list.
 TEST(store_watch, known_objects_are_kept_while_the_store_is_unavailable)
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -354,6 +354,35 @@
     }
 }
 
+// Guards against memory and time that an answer takes which its request has no
+// use for: it is refused by its announced length, or once it exceeds the limit.
+TEST(client, an_answer_beyond_the_limit_of_its_request_is_not_read)
+{
+    for (const auto* head : {"Content-Length: 5000000\r\n\r\n",
+                             "Transfer-Encoding: chunked\r\n\r\n4c4b40\r\n"})
+    {
+        const http::exchange_number n = failures.size() + 1;
+        loop_peer server{io};
+        server.accept(acceptor);
+        client.send(n, at, {"GET", "/a", {{"Host", "h"}}, ""},
+                    {.answer_bytes = 1'000'000});
+        CHECK(run_until(io, [&] { return !server.got().empty(); }));
+        server.send(std::string("HTTP/1.1 200 OK\r\n") + head);
+        const auto before = client.moved().received;
+        std::size_t sent = 0;
+        for (; !failures.contains(n) && sent < 5'000'000; sent += 16'000)
+        {
+            server.send(std::string(16'000, 'x'));
+            io.restart();
+            while (io.poll() > 0)
+                ;
+        }
+        CHECK(failures.at(n) == exchange_failure::too_large);
+        CHECK(client.moved().received - before <= 1'100'000);
+        server.close();
+    }
+}
+
 // The size of a chunk without end is given up long before a body would be.
 TEST(client, a_chunk_size_without_end_is_given_up_early)
 {
