What a later change replaces is not applied, nor sent to other VMs

Cause: the events of a watch were decoded and applied one by one, and the answers between VMs held an object once for each of its changes.

--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -25,6 +25,10 @@
     bool deleted = false;
 };
 
+/// Returns the changes without those of an object that a later one replaces.
+std::vector<object_change>
+without_superseded(std::vector<object_change> changes);
+
 /// A state of the store. The store may come back from a copy and give out again
 /// the revisions since: these then stand for other changes, and the era is
 /// higher. Any position of a later era comes after those of earlier ones.
--- a/lib/entry/spread_server.cpp
+++ b/lib/entry/spread_server.cpp
@@ -54,6 +54,7 @@
     }
     if (!is_list && batch->changes.empty() && now < pending.answer_by)
         return false;
+    batch->changes = gateway::without_superseded(std::move(batch->changes));
     const auto age = std::chrono::duration_cast<milliseconds>(watch->age(now));
     answer_(pending.number, encode_spread_answer({std::move(*batch), age}));
     return true;
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -2,6 +2,9 @@
 #include "mimosacroft/gateway/object_follower.hpp"
 
 #include <algorithm>
+#include <ranges>
+#include <unordered_set>
+#include <utility>
 
 namespace mimosacroft::gateway
 {
@@ -13,6 +16,18 @@
 
 } // namespace
 
+std::vector<object_change>
+without_superseded(std::vector<object_change> changes)
+{
+    std::unordered_set<std::string> later;
+    std::vector<object_change> out;
+    for (auto& it : changes | std::views::reverse)
+        if (later.insert(it.name).second)
+            out.push_back(std::move(it));
+    std::ranges::reverse(out);
+    return out;
+}
+
 std::optional<follow_call> object_follower::next(base::instant now)
 {
     if (call_in_flight_ || now < next_call_at_)
--- a/unittests/entry/store_watch_test.cpp
+++ b/unittests/entry/store_watch_test.cpp
@@ -265,6 +265,30 @@
     LONGS_EQUAL(0, child.watch.store_calls());
 }
 
+// Guards against answers between VMs that hold an object once for each change
+// that the VM which asks has missed.
+TEST(spread_server, a_vm_that_fell_behind_gets_each_object_once)
+{
+    const std::string large(100'000, 'x');
+    store.put("things", "main", {{"n", 0}, {"text", large}});
+    CHECK(run_until([this] { return child.watch.is_complete(); }));
+    const auto before = child.watch.moved().received;
+    constexpr int changes = 20;
+    for (int n = 1; n <= changes; ++n)
+    {
+        store.put("things", "main", {{"n", n}, {"text", large}});
+        const auto wanted = R"({"n":)" + std::to_string(n) + ",";
+        // The child stands still.
+        CHECK(tests::run_until(
+            io, [&] { return parent.objects["main"].starts_with(wanted); },
+            [this](base::instant now) { parent.watch.tick(now); }));
+    }
+    const auto wanted = R"({"n":)" + std::to_string(changes) + ",";
+    CHECK(run_until([&] { return child.objects["main"].starts_with(wanted); }));
+    LONGS_EQUAL(0, child.watch.store_calls());
+    CHECK(child.watch.moved().received - before < 4 * large.size());
+}
+
 // The only VM of a data centre that reads from the store hangs: a VM that reads
 // from it must switch to the store.
 TEST(spread_server, a_vm_reads_from_the_store_when_its_source_hangs)
--- a/unittests/platform/store_test.cpp
+++ b/unittests/platform/store_test.cpp
@@ -7,6 +7,7 @@
 #include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
+#include <tuple>
 
 using namespace mimosacroft;
 using gateway::follow_step;
@@ -135,6 +136,34 @@
     CHECK(events->changes.at(0).deleted);
 }
 
+// Guards against a VM that falls behind further with each change: what later
+// changes replace takes as long to apply as they do.
+TEST(store, changes_that_later_ones_replace_are_left_out)
+{
+    const auto batch =
+        platform::decode_batch(follow_step::watch, {200,
+                                                    {},
+                                                    R"({"events": [
+             {"object": {"meta": {"name": "a"}, "spec": {"n": 1}}, "deleted": false},
+             {"object": {"meta": {"name": "b"}, "spec": {"n": 1}}, "deleted": false},
+             {"object": {"meta": {"name": "a"}, "spec": {"n": 2}}, "deleted": false},
+             {"object": {"meta": {"name": "c"}, "spec": {"n": 1}}, "deleted": true},
+             {"object": {"meta": {"name": "c"}, "spec": {"n": 2}}, "deleted": false},
+             {"object": {"meta": {"name": "b"}, "spec": null}, "deleted": true}],
+             "storeRevision": 9})"});
+    CHECK(batch.has_value());
+    LONGS_EQUAL(3, batch->changes.size());
+    const auto& [a, c, b] =
+        std::tie(batch->changes[0], batch->changes[1], batch->changes[2]);
+    STRCMP_EQUAL("a", a.name.c_str());
+    STRCMP_EQUAL(R"({"n":2})", a.content.c_str());
+    STRCMP_EQUAL("c", c.name.c_str());
+    STRCMP_EQUAL(R"({"n":2})", c.content.c_str());
+    CHECK_FALSE(c.deleted);
+    STRCMP_EQUAL("b", b.name.c_str());
+    CHECK(b.deleted);
+}
+
 TEST(store, failed_requests_are_mapped_to_error_codes)
 {
     const auto code_of = [](unsigned status, const char* body)
