A VM rests after changes that took long to apply

Cause: the next call went out as soon as the last answer was applied, however long that took. Change: the follower rests three times as long as applying took, 0.6 s at most, since a stop of the whole process looks the same. Lists are read without a rest: a VM that starts, or has lost the history, is needed at once. Evidence: object_follower.rests_after_changes_that_took_long_to_apply fails with the rest taken out.

--- a/include/mimosacroft/gateway/object_follower.hpp
+++ b/include/mimosacroft/gateway/object_follower.hpp
@@ -91,6 +91,12 @@
     std::optional<object_batch> on_batch(const object_batch& batch,
                                          base::instant now);
 
+    /// Called when what on_batch() was given is applied, which took `took`.
+    /// Delays the next call, so that a VM for which changes come faster than
+    /// it applies them has time for its callers. The first list, and the pages
+    /// of later ones, are not delayed.
+    void on_applied(base::duration took, base::instant now);
+
     /// Called when the source no longer has the history that the watch needs,
     /// or when it is in a later era.
     void on_history_gone(base::instant now);
--- a/lib/entry/store_watch.cpp
+++ b/lib/entry/store_watch.cpp
@@ -55,7 +55,10 @@
               {.on_reply =
                    [this](auto, http::response&& reply)
                {
+                   const auto started = base::now();
                    on_reply(std::move(reply));
+                   const auto now = base::now();
+                   follower_.on_applied(now - started, now);
                    handlers_.on_call_ended();
                },
                .on_failure =
--- a/lib/gateway/object_follower.cpp
+++ b/lib/gateway/object_follower.cpp
@@ -13,6 +13,10 @@
 {
 
 constexpr unsigned max_doublings = 4;
+// The pause after changes were applied, in the time that this took. It is
+// bounded, since the time also counts while the whole process stood still.
+constexpr int pause_factor = 3;
+constexpr base::milliseconds max_pause{600};
 
 } // namespace
 
@@ -91,6 +95,15 @@
     return out;
 }
 
+void object_follower::on_applied(base::duration took, base::instant now)
+{
+    const bool is_between_pages = listed_.has_value();
+    if (!has_full_list_ || is_between_pages)
+        return;
+    const auto pause = std::min<base::duration>(pause_factor * took, max_pause);
+    next_call_at_ = std::max(next_call_at_, now + pause);
+}
+
 void object_follower::on_history_gone(base::instant now)
 {
     call_in_flight_ = false;
--- a/unittests/gateway/object_follower_test.cpp
+++ b/unittests/gateway/object_follower_test.cpp
@@ -70,6 +70,40 @@
     CHECK(it.next_due() > now);
 }
 
+// Guards against a VM that does nothing but follow: changes came faster than it
+// could apply them, and its callers got no answers.
+TEST(object_follower, rests_after_changes_that_took_long_to_apply)
+{
+    next();
+    it.on_batch(batch({"a"}, 7, false), now);
+    next();
+    it.on_batch(batch({"a"}, 8, false), now);
+    now += milliseconds(150);
+    it.on_applied(milliseconds(150), now);
+    CHECK(it.next_due() == now + 3 * milliseconds(150));
+    // A stop of the whole process looks the same, so that the pause is bounded.
+    next();
+    it.on_batch(batch({"a"}, 9, false), now);
+    now += milliseconds(5'000);
+    it.on_applied(milliseconds(5'000), now);
+    CHECK(it.next_due() == now + milliseconds(600));
+}
+
+// A VM that starts, or has lost the history, is needed at once.
+TEST(object_follower, a_list_is_read_without_a_rest)
+{
+    for (int n = 0; n < 2; ++n)
+    {
+        next();
+        it.on_batch(batch({"a"}, 7, true), now);
+        it.on_applied(milliseconds(150), now);
+        CHECK(it.next_due() == now);
+        next();
+        it.on_batch(batch({"b"}, 7, false), now);
+        it.on_history_gone(now);
+    }
+}
+
 TEST(object_follower, lists_again_when_the_history_is_gone)
 {
     next();
