--- a/unittests/fleet/config_store_test.cpp
+++ b/unittests/fleet/config_store_test.cpp
@@ -53,6 +53,27 @@
     LONGS_EQUAL(1, store.refusals().size());
 }
 
+// Guards against memory that grows with the number of changes (issue 43), as it
+// did in the cache of mimosa-entry.
+TEST(config_store, what_it_holds_does_not_grow_with_the_number_of_changes)
+{
+    fleet::config_store store;
+    for (std::uint32_t n = 1; n <= 4'000; ++n)
+    {
+        auto entry = search_entry(n, n);
+        if (n % 3 == 0)
+            entry.body = "{}";
+        store.apply(entry);
+    }
+    LONGS_EQUAL(1, store.entries().size());
+    LONGS_EQUAL(1, store.entries_after(0).size());
+    auto bad = search_entry(4'001, 0);
+    bad.body = "{}";
+    store.apply(bad);
+    // The latest version, and the one that is in force in its place.
+    LONGS_EQUAL(2, store.entries_after(0).size());
+}
+
 TEST(config_store, any_order_with_repeats_ends_at_the_newest)
 {
     CHECK(rc::check(
