--- a/review/11/run.py
+++ b/review/11/run.py
@@ -12,7 +12,8 @@
 
 SEED = 11
 SHARDS = 12
-PER_S = 60  # requests of clients a second, each to all shards
+OTHERS = 44  # servers of a service that nobody asks for: 12 of 68 servers leave
+PER_S = 85  # requests of clients a second, each to all shards
 DOWN_AT_S, DOWN_FOR_S = 8.0, 4.8
 STABLE_S = st.VRZ_BOUNDS["stableWindowMs"] / 1000
 DRAIN_S = st.VRZ_BOUNDS["drainMs"] / 1000
@@ -40,10 +41,15 @@
             it.phase = rng.random()
             await it.start()
             servers[it.name] = it
+    for n in range(OTHERS):
+        await st.Server(record, store, "others", "o%d" % n, zones[n % 3],
+                        "127.0.0.1", lambda: 0.015).start()
     store.put("config", "main", st.configuration(
-        7, [st.route("r-1", "shop.example", "/all/", None, attempts=2,
+        7, [st.route("r-2", "shop.example", "/others/", "others", attempts=2),
+            st.route("r-1", "shop.example", "/all/", None, attempts=2,
                      timeout_ms=2500, slo_ms=150, gather=shards, topK=50,
-                     minShare=0.89)], shards, max_conns=26))
+                     minShare=0.89)],
+        shards + ["others"], max_conns=26))
     vms = []
     for zone, count in MACHINES.items():
         for n in range(count):
